--- /dev/null
+++ b/ci/verdict.d.cts
@@ -0,0 +1,18 @@
+/** Types of verdict.cjs. */
+export interface KnownRed {
+  readonly test: string;
+  readonly line: string;
+  readonly whole: boolean;
+}
+export interface Verdict {
+  readonly passed: number;
+  readonly failed: number;
+  readonly knownRed: readonly string[];
+  readonly complaints: readonly string[];
+}
+export function parseKnownRed(text: string): readonly KnownRed[];
+export function judge(
+  tests: readonly { readonly name: string; readonly status: string }[],
+  entries: readonly KnownRed[],
+  brokenSuites: number,
+): Verdict;
--- /dev/null
+++ b/src/contracts/methodContract.ts
@@ -0,0 +1,20 @@
+/**
+ * What a plain service promises for one method and path: whether a call may be repeated, and how an
+ * unknown outcome can be settled.
+ */
+
+export interface MethodContract {
+  /** Upper-case HTTP method. */
+  readonly method: string;
+  /** Path, or a prefix that ends with `*`. */
+  readonly path: string;
+  readonly isIdempotent: boolean;
+  /** Whether the backend server answers a repeated `Idempotency-Key` without running twice. */
+  readonly honoursIdempotencyKey: boolean;
+  /** Path of a status look-up by operation id, with `{id}` in it, where there is one. */
+  readonly statusPath?: string;
+  /** Time limit of one call, milliseconds. */
+  readonly timeoutMs: number;
+  /** Largest request body, bytes. */
+  readonly maxBodyBytes: number;
+}
