--- /dev/null
+++ b/src/vms/fleetMessage.ts
@@ -0,0 +1,90 @@
+/**
+ * What comes to and goes from the fleet side of a node: membership, shared soft state, addresses,
+ * configuration and drain.
+ */
+
+import type { BackendServerId } from '../backendServers/backendServer';
+import type { Configuration, RevisionNumber } from '../configuration/configuration';
+import type { LoadReport } from '../contracts/engineContract';
+import type { MembershipResult } from '../contracts/membershipList';
+import type { CallId, Occurrence, SharedEffect, SharedEvent } from '../decisions/primitive';
+import type { PeerVm } from '../operations/operationMessage';
+import type { ServerHealth, Suspect, WorkspaceUse } from '../requests/routerMessage';
+import type { Address, Vm, VmId } from './vm';
+
+/** One address of the answer to a caller, with the time it stays good, milliseconds. */
+export interface AddressAnswer {
+  readonly addresses: readonly Address[];
+  readonly validForMs: number;
+}
+
+export type FleetEvent =
+  | ({ readonly type: 'started'; readonly vm: Vm; readonly seeds: readonly Address[] } & Occurrence)
+  /** A datagram whose authenticity the shell has checked; `body` is decoded msgpack, unchecked. */
+  | ({
+      readonly type: 'datagram-received';
+      readonly from: Address;
+      readonly body: unknown;
+    } & Occurrence)
+  /** A message on the reliable channel between VMs; `body` is decoded msgpack, unchecked. */
+  | ({
+      readonly type: 'message-received';
+      readonly from: VmId;
+      readonly body: unknown;
+    } & Occurrence)
+  | ({ readonly type: 'listed'; readonly result: MembershipResult } & Occurrence)
+  | ({ readonly type: 'load-observed'; readonly report: LoadReport } & Occurrence)
+  /** Word straight from a backend server, or the lack of it, on this VM's own probe. */
+  | ({
+      readonly type: 'probe-answered';
+      readonly server: BackendServerId;
+      readonly result: 'live' | 'leaving' | 'unreachable';
+      /** Differs after a restart of the backend server. */
+      readonly incarnation: string;
+    } & Occurrence)
+  | ({
+      readonly type: 'server-observed';
+      readonly server: BackendServerId;
+      readonly observation: 'served' | 'failed' | 'slow' | 'crashed' | 'leaving';
+    } & Occurrence)
+  | ({ readonly type: 'suspects-shared'; readonly suspects: readonly Suspect[] } & Occurrence)
+  | ({ readonly type: 'use-shared'; readonly uses: readonly WorkspaceUse[] } & Occurrence)
+  | ({
+      readonly type: 'addresses-asked';
+      readonly call: CallId;
+      readonly caller: string;
+    } & Occurrence)
+  /** A revision that this VM has just committed; spares the wait for the next poll. */
+  | ({ readonly type: 'head-committed'; readonly revision: RevisionNumber } & Occurrence)
+  | ({ readonly type: 'drain-started' } & Occurrence)
+  /** Requests and operations that still run here; the drain ends when it is 0. */
+  | ({ readonly type: 'work-counted'; readonly running: number } & Occurrence)
+  | SharedEvent;
+
+export type FleetEffect =
+  | { readonly type: 'send-datagram'; readonly to: Address; readonly body: unknown }
+  | { readonly type: 'send-message'; readonly to: PeerVm; readonly body: unknown }
+  | { readonly type: 'list-vms' }
+  | { readonly type: 'probe-server'; readonly server: BackendServerId; readonly address: Address }
+  | { readonly type: 'configuration-applied'; readonly configuration: Configuration }
+  /** Every VM that may still serve has acknowledged this revision. */
+  | { readonly type: 'configuration-accepted'; readonly revision: RevisionNumber }
+  | {
+      readonly type: 'configuration-pending';
+      readonly revision: RevisionNumber;
+      readonly waitsFor: readonly VmId[];
+    }
+  | { readonly type: 'servers-changed'; readonly servers: readonly ServerHealth[] }
+  | { readonly type: 'server-crashed'; readonly server: BackendServerId }
+  | { readonly type: 'vms-changed'; readonly vms: readonly PeerVm[]; readonly acceptingVms: number }
+  | { readonly type: 'load-learned'; readonly report: LoadReport; readonly ageMs: number }
+  | { readonly type: 'suspects-learned'; readonly suspects: readonly Suspect[] }
+  | {
+      readonly type: 'use-learned';
+      readonly uses: readonly WorkspaceUse[];
+      readonly acceptingVms: number;
+    }
+  | { readonly type: 'accepting-changed'; readonly isAccepting: boolean; readonly reason: string }
+  | { readonly type: 'answer-addresses'; readonly call: CallId; readonly answer: AddressAnswer }
+  | { readonly type: 'drained' }
+  | SharedEffect;
