--- /dev/null
+++ b/src/adapters/createEngineClient.ts
@@ -0,0 +1,177 @@
+/** Model engines over HTTP: streams, cancels, KV exports, orders and their state. */
+
+import type { Dispatcher } from 'undici';
+import { z } from 'zod';
+import type {
+  AddressedStage,
+  EngineOrder,
+  EngineState,
+  KvExport,
+  OrderResult,
+  StreamMessage,
+  StreamOrder,
+} from '../contracts/engineContract';
+import type { Address } from '../vms/vm';
+import { connectionFailure } from './connectionFailure';
+import { MAX_STREAM_LINE_BYTES, ORDER_TIMEOUT_MS, PROBE_TIMEOUT_MS } from './constants';
+import { createLineSplitter } from './createLineSplitter';
+import { errorText } from './errorText';
+import { engineStateSchema, kvExportsSchema, orderResultSchema } from './engineSchemas';
+import { origin } from './origin';
+import { streamMessageSchema } from './streamMessageSchema';
+
+/** How a stream ended; `unreachable` only where the connection was never made. */
+export interface StreamClose {
+  readonly cause: 'ended' | 'reset' | 'unreachable';
+  readonly detail: string;
+}
+
+export interface StreamListener {
+  /** Messages that arrived together, in order. */
+  readonly onMessages: (messages: readonly StreamMessage[]) => void;
+  /** Called once, after the last message; not after a cancel of our own. */
+  readonly onClosed: (close: StreamClose) => void;
+}
+
+export interface EngineClient {
+  /** Opens a stream and returns the function that drops it. */
+  readonly openStream: (order: StreamOrder, listener: StreamListener) => () => void;
+  readonly cancelStream: (
+    request: string,
+    attempt: number,
+    route: readonly AddressedStage[],
+  ) => Promise<void>;
+  readonly findKv: (
+    request: string,
+    stages: readonly AddressedStage[],
+  ) => Promise<readonly KvExport[]>;
+  readonly order: (
+    address: Address,
+    order: EngineOrder,
+  ) => Promise<OrderResult | { readonly type: 'unreachable' | 'lost' }>;
+  readonly readState: (
+    address: Address,
+  ) => Promise<
+    | { readonly type: 'state'; readonly state: EngineState; readonly fencing: number }
+    | { readonly type: 'unreachable' }
+  >;
+}
+
+const stateAnswer = z.object({ state: engineStateSchema, fencing: z.number() });
+
+/**
+ * Creates a client for all engines.
+ *
+ * @param dispatcher the HTTP client
+ */
+export function createEngineClient(dispatcher: Dispatcher): EngineClient {
+  const getJson = async (address: Address, path: string): Promise<unknown> => {
+    const reply = await dispatcher.request({
+      origin: origin(address),
+      path,
+      method: 'GET',
+      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+    });
+    return reply.body.json();
+  };
+  return {
+    openStream: (order, listener) => {
+      const abort = new AbortController();
+      void runStream(dispatcher, order, listener, abort.signal);
+      return () => {
+        abort.abort();
+      };
+    },
+    cancelStream: async (request, attempt, route) => {
+      const path = `/v1/streams/${encodeURIComponent(request)}/${attempt}`;
+      const cancels = route.map(async ({ address }) => {
+        const reply = await dispatcher.request({
+          origin: origin(address),
+          path,
+          method: 'DELETE',
+          signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+        });
+        await reply.body.dump();
+      });
+      await Promise.allSettled(cancels);
+    },
+    findKv: async (request, stages) => {
+      const answers = await Promise.allSettled(
+        stages.map(({ address }) => getJson(address, `/v1/kv/${encodeURIComponent(request)}`)),
+      );
+      return answers.flatMap((answer) => {
+        const checked = kvExportsSchema.safeParse(
+          answer.status === 'fulfilled' ? answer.value : undefined,
+        );
+        return checked.success ? checked.data.exports : [];
+      });
+    },
+    order: async (address, order) => {
+      try {
+        const reply = await dispatcher.request({
+          origin: origin(address),
+          path: '/v1/orders',
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(order),
+          signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+        });
+        const checked = orderResultSchema.safeParse(await reply.body.json());
+        return checked.success ? checked.data : { type: 'lost' };
+      } catch (error) {
+        return { type: connectionFailure(error) === 'unreachable' ? 'unreachable' : 'lost' };
+      }
+    },
+    readState: async (address) => {
+      try {
+        const checked = stateAnswer.safeParse(await getJson(address, '/v1/state'));
+        return checked.success ? { type: 'state', ...checked.data } : { type: 'unreachable' };
+      } catch {
+        return { type: 'unreachable' };
+      }
+    },
+  };
+}
+
+async function runStream(
+  dispatcher: Dispatcher,
+  order: StreamOrder,
+  listener: StreamListener,
+  signal: AbortSignal,
+): Promise<void> {
+  const close = (cause: StreamClose['cause'], detail: string): void => {
+    if (!signal.aborted) listener.onClosed({ cause, detail });
+  };
+  const [first] = order.route;
+  if (first === undefined) {
+    close('unreachable', 'the route is empty');
+    return;
+  }
+  try {
+    const { body } = await dispatcher.request({
+      origin: origin(first.address),
+      path: '/v1/streams',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      signal,
+    });
+    const lines = createLineSplitter(MAX_STREAM_LINE_BYTES);
+    for await (const chunk of body) {
+      const messages = lines.push(chunk as Uint8Array).map(readMessage);
+      if (messages.length > 0 && !signal.aborted) listener.onMessages(messages);
+    }
+    const rest = lines.rest();
+    if (rest !== '' && !signal.aborted) listener.onMessages([readMessage(rest)]);
+    close('ended', '');
+  } catch (error) {
+    const cause = connectionFailure(error) === 'unreachable' ? 'unreachable' : 'reset';
+    close(cause, errorText(error));
+  }
+}
+
+function readMessage(line: string): StreamMessage {
+  return streamMessageSchema.parse(JSON.parse(line));
+}
--- /dev/null
+++ b/src/adapters/operatorRoutes.ts
@@ -0,0 +1,105 @@
+/** The operators' HTTP interface, under `/v1/operator/`. */
+
+import { z } from 'zod';
+import type { Intent } from '../plans/intent';
+import type { OperatorAsk } from '../plans/planMessage';
+import { askPlans } from './askPlans';
+import { DEFAULT_AUDIT_ROWS, MAX_AUDIT_ROWS } from './constants';
+import type { Exchange } from './exchange';
+import { readJsonBody } from './readJsonBody';
+import { refuseExchange } from './refuseExchange';
+import type { Route } from './route';
+import { sendJson } from './sendJson';
+import { withOperator } from './withOperator';
+
+const intentBody = z.object({
+  intent: z.looseObject({ type: z.string() }),
+  reason: z.string().min(1).max(1000),
+});
+
+const auditQuery = z.object({
+  since: z.coerce.number().optional(),
+  service: z.string().optional(),
+  who: z.string().optional(),
+  limit: z.coerce.number().int().min(1).max(MAX_AUDIT_ROWS).default(DEFAULT_AUDIT_ROWS),
+});
+
+const stateIntent = withOperator('plan', async (exchange, operator) => {
+  const body = await readJsonBody(exchange);
+  if (body === undefined) return;
+  const checked = intentBody.safeParse(body);
+  if (!checked.success) {
+    refuseExchange(exchange, 'invalid-request', z.prettifyError(checked.error));
+    return;
+  }
+  const { intent, reason } = checked.data;
+  const ask = { type: 'state-intent', intent: intent as unknown as Intent, reason } as const;
+  await askPlans(exchange, operator, ask);
+});
+
+const readAudit = withOperator('read', async (exchange, operator) => {
+  const checked = auditQuery.safeParse(Object.fromEntries(exchange.url.searchParams));
+  if (!checked.success) {
+    refuseExchange(exchange, 'invalid-request', z.prettifyError(checked.error));
+    return;
+  }
+  const { since, service, who, limit } = checked.data;
+  await askPlans(exchange, operator, {
+    type: 'read-audit',
+    limit,
+    ...(since === undefined ? {} : { since }),
+    ...(service === undefined ? {} : { service }),
+    ...(who === undefined ? {} : { who }),
+  });
+});
+
+const askAbout = (
+  role: 'read' | 'plan' | 'confirm',
+  createAsk: (plan: string) => OperatorAsk,
+): Route['handle'] =>
+  withOperator(role, (exchange, operator) =>
+    askPlans(exchange, operator, createAsk(decodeURIComponent(exchange.captured[0] ?? ''))),
+  );
+
+const showView = (exchange: Exchange): void => {
+  const [name = '', argument = ''] = exchange.captured;
+  const view = exchange.host.view(name, decodeURIComponent(argument));
+  if (view === undefined) refuseExchange(exchange, 'no-such-path', `nothing under ${name}`);
+  else sendJson(exchange.response, 200, view);
+};
+
+/** Routes in order; the first match wins. */
+export const operatorRoutes: readonly Route[] = [
+  { method: 'POST', path: /^\/v1\/operator\/intents$/, handle: stateIntent },
+  {
+    method: 'GET',
+    path: /^\/v1\/operator\/plans$/,
+    handle: askAbout('read', () => ({ type: 'list-plans' })),
+  },
+  {
+    method: 'GET',
+    path: /^\/v1\/operator\/plans\/([^/]+)$/,
+    handle: askAbout('read', (plan) => ({ type: 'show-plan', plan })),
+  },
+  {
+    method: 'POST',
+    path: /^\/v1\/operator\/plans\/([^/]+)\/confirm$/,
+    handle: askAbout('confirm', (plan) => ({ type: 'confirm-plan', plan })),
+  },
+  {
+    method: 'POST',
+    path: /^\/v1\/operator\/plans\/([^/]+)\/cancel$/,
+    handle: askAbout('plan', (plan) => ({ type: 'cancel-plan', plan })),
+  },
+  { method: 'GET', path: /^\/v1\/operator\/audit$/, handle: readAudit },
+  {
+    method: 'GET',
+    path: /^\/v1\/operator\/(status|vms|backends|configuration)$/,
+    handle: withOperator('read', showView),
+  },
+  {
+    method: 'GET',
+    path: /^\/v1\/operator\/(explain)\/(.+)$/,
+    handle: withOperator('read', showView),
+  },
+];
--- /dev/null
+++ b/src/adapters/route.ts
@@ -0,0 +1,10 @@
+/** One entry of the HTTP interface. */
+
+import type { ExchangeHandler } from './exchange';
+
+export interface Route {
+  /** Upper-case HTTP method, or `*` for any. */
+  readonly method: string;
+  readonly path: RegExp;
+  readonly handle: ExchangeHandler;
+}
--- /dev/null
+++ b/src/adapters/streamMessageSchema.ts
@@ -0,0 +1,32 @@
+/** Checks the shape of what an engine sends on a stream. */
+
+import { z } from 'zod';
+import type { StreamMessage } from '../contracts/engineContract';
+
+const receipt = z.object({
+  engine: z.string(),
+  layers: z.object({ from: z.number(), to: z.number() }),
+  attempt: z.number(),
+  position: z.number(),
+});
+
+const frame = z.object({
+  request: z.string(),
+  workspace: z.string(),
+  attempt: z.number(),
+  position: z.number(),
+  token: z.number(),
+  text: z.string(),
+  receipts: z.array(receipt),
+  finish: z.enum(['stop', 'length']).exactOptional(),
+});
+
+/** Schema of one line of a stream. */
+export const streamMessageSchema: z.ZodType<StreamMessage> = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('frame'), frame }),
+  z.object({ type: z.literal('stage-failed'), engine: z.string(), detail: z.string() }),
+  z.object({
+    type: z.literal('refused'),
+    reason: z.enum(['overloaded', 'leaving', 'wrong-layers']),
+  }),
+]);
--- /dev/null
+++ b/src/node/createMetrics.ts
@@ -0,0 +1,54 @@
+/** The daemon's counters and gauges, in the Prometheus text format. */
+
+import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+
+export interface Metrics {
+  /** Adds to `citronpass_<counter>_total`; the first use of a counter fixes its label names. */
+  readonly count: (counter: string, by?: number, labels?: Readonly<Record<string, string>>) => void;
+  /** Shows a figure that is read at each scrape as `citronpass_<name>`. */
+  readonly gauge: (name: string, help: string, read: () => number) => void;
+  readonly contentType: string;
+  readonly text: () => Promise<string>;
+}
+
+/** Creates a registry of its own, so that several nodes fit into one process. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry, prefix: 'citronpass_process_' });
+  const counters = new Map<string, { counter: Counter; labelNames: readonly string[] }>();
+  const open = (name: string, labelNames: readonly string[]) => {
+    const known = counters.get(name);
+    if (known !== undefined) return known;
+    const counter = new Counter({
+      name: `citronpass_${toMetricName(name)}_total`,
+      help: `Count of ${name.replaceAll(/[-_]/g, ' ')}.`,
+      labelNames: [...labelNames],
+      registers: [registry],
+    });
+    const opened = { counter, labelNames };
+    counters.set(name, opened);
+    return opened;
+  };
+  return {
+    count: (name, by = 1, labels = {}) => {
+      const { counter, labelNames } = open(name, Object.keys(labels));
+      counter.inc(Object.fromEntries(labelNames.map((label) => [label, labels[label] ?? ''])), by);
+    },
+    gauge: (name, help, read) => {
+      new Gauge({
+        name: `citronpass_${toMetricName(name)}`,
+        help,
+        registers: [registry],
+        collect() {
+          this.set(read());
+        },
+      });
+    },
+    contentType: registry.contentType,
+    text: () => registry.metrics(),
+  };
+}
+
+function toMetricName(name: string): string {
+  return name.replaceAll(/[^A-Za-z0-9_]/g, '_');
+}
--- /dev/null
+++ b/src/node/createNodeActor.ts
@@ -0,0 +1,75 @@
+/**
+ * The node's one actor: it holds the state of all four sides, drives their joint reducer and hands
+ * every effect to the interpreters, in order. A reducer that throws leaves the state as it was.
+ */
+
+import { dispatch, spawn, start, stop } from 'nact';
+import type { Decision } from '../decisions/decision';
+import type { NodeEffect, NodeEvent } from './nodeMessage';
+import type { Send, UntimedEvent } from './untimedEvent';
+
+export interface NodeActorOptions<State> {
+  readonly reduce: (state: State, event: NodeEvent) => Decision<State, NodeEffect>;
+  readonly initialState: State;
+  readonly interpret: (effect: NodeEffect) => void;
+  /** Monotonic clock, milliseconds. */
+  readonly now: () => number;
+  /** Fresh uniform 32-bit numbers. */
+  readonly seed: () => number;
+  /** Told of an event whose decision threw, and of an effect whose interpreter threw. */
+  readonly onFault: (fault: unknown, cause: NodeEvent) => void;
+}
+
+export interface NodeActor<State> {
+  readonly send: Send;
+  readonly state: () => State;
+  readonly stop: () => void;
+}
+
+/**
+ * Starts the actor.
+ *
+ * @param options the reducer, the interpreters, the clock and the source of randomness
+ */
+export function createNodeActor<State>(options: NodeActorOptions<State>): NodeActor<State> {
+  const { reduce, interpret, now, seed, onFault } = options;
+  let latest = options.initialState;
+  let isStopped = false;
+  const step = (state: State, { side, event }: UntimedEvent): State => {
+    const timed = { side, event: { ...event, atMs: now(), seed: seed() } } as NodeEvent;
+    const guard = <Value>(work: () => Value): Value | undefined => {
+      try {
+        return work();
+      } catch (fault) {
+        onFault(fault, timed);
+        return undefined;
+      }
+    };
+    const decision = guard(() => reduce(state, timed));
+    if (decision === undefined) return state;
+    latest = decision.state;
+    for (const effect of decision.effects) {
+      guard(() => {
+        interpret(effect);
+      });
+    }
+    return decision.state;
+  };
+  const system = start();
+  const actor = spawn(
+    system,
+    (state: State, events: readonly UntimedEvent[]): State => events.reduce(step, state),
+    'node',
+    { initialState: options.initialState },
+  );
+  return {
+    send: (...events) => {
+      if (!isStopped) dispatch(actor, events);
+    },
+    state: () => latest,
+    stop: () => {
+      isStopped = true;
+      stop(system);
+    },
+  };
+}
--- /dev/null
+++ b/src/node/interpretPlans.ts
@@ -0,0 +1,28 @@
+/** Carries out the effects of plans: orders to engines, reads of their state, operators' answers. */
+
+import type { SideInterpreters } from './interpreters';
+import type { Ports } from './ports';
+
+/**
+ * Builds the table of handlers.
+ *
+ * @param ports what the shell reaches the world through
+ */
+export function interpretPlans(ports: Ports): SideInterpreters<'plans'> {
+  const { engines, waiting, send } = ports;
+  return {
+    answer: ({ call, status, body }) => {
+      waiting.operators.settle(call, { status, body });
+    },
+    'order-engine': ({ call, address, order }) => {
+      void engines.order(address, order).then((result) => {
+        send({ side: 'plans', event: { type: 'order-answered', call, result } });
+      });
+    },
+    'read-engine': ({ call, address }) => {
+      void engines.readState(address).then((result) => {
+        send({ side: 'plans', event: { type: 'engine-read', call, result } });
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/node/parseSettings.ts
@@ -0,0 +1,97 @@
+/** Checks the text of a settings file and reports all its mistakes at once. */
+
+import { parse, TomlError } from 'smol-toml';
+import type { z } from 'zod';
+import { readSecret } from './readSecret';
+import type { Settings, SettingsMistake, SettingsResult } from './settings';
+import { settingsSchema } from './settingsSchema';
+import type { SecretSource, SettingsFile } from './settingsSchema';
+
+export interface ParseSettingsOptions {
+  /** Name of the file, for the mistakes. */
+  readonly file: string;
+  readonly environment?: Readonly<Record<string, string | undefined>>;
+}
+
+/**
+ * Parses TOML text into settings, with the secrets that it names read in.
+ *
+ * @param source the text of the file
+ * @param options the file's name and the environment variables
+ * @returns the settings, or every mistake with its key, its file and what is accepted
+ */
+export function parseSettings(source: string, options: ParseSettingsOptions): SettingsResult {
+  const { file, environment = process.env } = options;
+  const document = parseToml(source);
+  if (typeof document === 'string') {
+    return { type: 'invalid', mistakes: [{ file, key: '(whole file)', message: document }] };
+  }
+  const checked = settingsSchema.safeParse(document);
+  const mistakes = (checked.error?.issues ?? []).flatMap((issue) => listMistakes(issue, file));
+  if (!checked.success) return { type: 'invalid', mistakes };
+  return addSecrets(checked.data, file, environment);
+}
+
+function parseToml(source: string): object | string {
+  try {
+    return parse(source);
+  } catch (error) {
+    if (error instanceof TomlError) return `not TOML: ${error.message.trim()}`;
+    throw error;
+  }
+}
+
+function listMistakes(issue: z.core.$ZodIssue, file: string): SettingsMistake[] {
+  const path = issue.path.map(String);
+  const keys = issue.code === 'unrecognized_keys' ? issue.keys : [undefined];
+  return keys.map((key) => ({
+    file,
+    key: [...path, ...(key === undefined ? [] : [key])].join('.'),
+    message: issue.message,
+  }));
+}
+
+function addSecrets(
+  checked: SettingsFile,
+  file: string,
+  environment: Readonly<Record<string, string | undefined>>,
+): SettingsResult {
+  const mistakes: SettingsMistake[] = [];
+  const read = (key: string, source: SecretSource): string => {
+    const result = readSecret(source, environment);
+    if (result.type === 'read') return result.secret;
+    mistakes.push({ file, key, message: result.message });
+    return '';
+  };
+  const current = read('fleet.key', checked.fleet.key);
+  const { previous_key: previousSource } = checked.fleet;
+  const previous =
+    previousSource === undefined ? {} : { previous: read('fleet.previous_key', previousSource) };
+  if (mistakes.length > 0) return { type: 'invalid', mistakes };
+  return { type: 'valid', settings: toSettings(checked, { current, ...previous }) };
+}
+
+function toSettings(checked: SettingsFile, keys: Settings['keys']): Settings {
+  const { vm, listen, platform, fleet, operators, limits } = checked;
+  return {
+    vm: { id: vm.id, region: vm.region, failureDomain: vm.failure_domain },
+    listen,
+    platform,
+    seeds: fleet.seeds,
+    keys,
+    operators: operators.map(({ name, role, token_hash: tokenHash }) => ({
+      name,
+      role,
+      tokenHash,
+    })),
+    limits: {
+      bodyBytes: limits.body_bytes,
+      headerBytes: limits.header_bytes,
+      promptTokens: limits.prompt_tokens,
+      answerTokens: limits.answer_tokens,
+      callerBufferBytes: limits.caller_buffer_bytes,
+      callerIdleMs: limits.caller_idle_ms,
+      concurrentRequests: limits.concurrent_requests,
+    },
+  };
+}
--- /dev/null
+++ b/src/node/readSecret.ts
@@ -0,0 +1,37 @@
+/** Reads a secret from the place that the settings name. The secret itself is never logged. */
+
+import { readFileSync } from 'node:fs';
+import { MIN_KEY_BYTES } from './constants';
+import type { SecretSource } from './settingsSchema';
+
+export type SecretResult =
+  | { readonly type: 'read'; readonly secret: string }
+  | { readonly type: 'missing'; readonly message: string };
+
+/**
+ * Reads one secret; white space around it is dropped.
+ *
+ * @param source the file or environment variable that holds it
+ * @param environment the environment variables
+ */
+export function readSecret(
+  source: SecretSource,
+  environment: Readonly<Record<string, string | undefined>>,
+): SecretResult {
+  const place = 'file' in source ? `file ${source.file}` : `environment variable ${source.env}`;
+  const found = 'file' in source ? readText(source.file) : environment[source.env];
+  const secret = found?.trim() ?? '';
+  if (secret === '') return { type: 'missing', message: `${place} holds no secret` };
+  if (Buffer.byteLength(secret) < MIN_KEY_BYTES) {
+    return { type: 'missing', message: `${place}: accepted are at least ${MIN_KEY_BYTES} bytes` };
+  }
+  return { type: 'read', secret };
+}
+
+function readText(path: string): string | undefined {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch {
+    return undefined;
+  }
+}
