Run model requests through pipelines: ledger, route, recovery

Every event of the router side is handled. A token is delivered only where the receipts tile all layers once, in order, from the current attempt's route, at the next position; everything else is dropped and counted by reason. A broken attempt is shut out and cancelled before the next one opens; healthy stages stay and import their own KV cache.

--- /dev/null
+++ b/src/requests/addressRoute.ts
@@ -0,0 +1,41 @@
+/** Adds to each stage of a route the address of its engine, and the KV export that it starts from. */
+
+import type { Configuration } from '../configuration/configuration';
+import type { AddressedStage, KvExport } from '../contracts/engineContract';
+import type { Route, Stage } from '../pipelines/route';
+
+/**
+ * @param configuration where the addresses stand; engines that are gone from it are left out
+ * @param route the stages
+ * @param exports KV exports that stages may import
+ */
+export function addressRoute(
+  configuration: Configuration,
+  route: Route,
+  exports: readonly KvExport[] = [],
+): readonly AddressedStage[] {
+  return route.flatMap((stage) => {
+    const server = configuration.backendServer.get(stage.engine);
+    if (server === undefined) return [];
+    const kvImport = findExport(stage, exports);
+    const addressed = { ...stage, address: server.address };
+    return [kvImport === undefined ? addressed : { ...addressed, kvImport }];
+  });
+}
+
+/** The longest export that covers the stage's layers; an engine's own comes before a copy. */
+function findExport(stage: Stage, exports: readonly KvExport[]): KvExport | undefined {
+  let best: KvExport | undefined;
+  for (const candidate of exports) {
+    const covers =
+      candidate.layers.from <= stage.layers.from && candidate.layers.to >= stage.layers.to;
+    if (!covers || candidate.tokens <= 0) continue;
+    if (best === undefined || isBetter(candidate, best, stage)) best = candidate;
+  }
+  return best;
+}
+
+function isBetter(candidate: KvExport, best: KvExport, stage: Stage): boolean {
+  if (candidate.tokens !== best.tokens) return candidate.tokens > best.tokens;
+  return candidate.engine === stage.engine && best.engine !== stage.engine;
+}
--- /dev/null
+++ b/src/requests/createRouter.ts
@@ -0,0 +1,22 @@
+/** The router side of a node before it knows anything. */
+
+import { Map } from 'immutable';
+import { createConfiguration } from '../configuration/createConfiguration';
+import { MAX_RUNNING } from './constants';
+import type { Router, RouterOptions } from './router';
+
+/**
+ * @param options settings; each has a default
+ * @returns a router that refuses every request until a configuration arrives
+ */
+export function createRouter(options: Partial<RouterOptions> = {}): Router {
+  return {
+    options: { maxRunning: MAX_RUNNING, ...options },
+    configuration: createConfiguration(),
+    health: new globalThis.Map(),
+    pipelines: new globalThis.Map(),
+    requests: Map(),
+    isAccepting: true,
+    refusalReason: '',
+  };
+}
--- /dev/null
+++ b/src/requests/leaveRequest.ts
@@ -0,0 +1,22 @@
+/** Ends a request whose caller left: its work is cancelled on every stage. */
+
+import { addressRoute } from './addressRoute';
+import { endRequest } from './endRequest';
+import type { RequestId } from './request';
+import type { Router, RouterDecision } from './router';
+
+/**
+ * @param router the router
+ * @param request the request; nothing happens where it has ended
+ */
+export function leaveRequest(router: Router, request: RequestId): RouterDecision {
+  const running = router.requests.get(request);
+  if (running === undefined) return { state: router, effects: [] };
+  const route = addressRoute(router.configuration, running.route);
+  return endRequest(router, running, [
+    { type: 'cancel-stream', request, attempt: running.attempt, route },
+    { type: 'clear-timer', timer: `stall/${request}` },
+    { type: 'clear-timer', timer: `kv/${request}` },
+    { type: 'count', counter: 'callers_left', by: 1 },
+  ]);
+}
--- /dev/null
+++ b/src/requests/receiveFrame.ts
@@ -0,0 +1,81 @@
+/** Checks one token frame against the pass ledger and delivers its token. */
+
+import { checkFrame, type FrameFault } from './checkFrame';
+import { PACE_WEIGHT } from './constants';
+import { endRequest } from './endRequest';
+import type { Router, RouterDecision } from './router';
+import type { RouterEffect, RouterEvent } from './routerMessage';
+import type { RunningRequest } from './runningRequest';
+import type { TokenFrame } from './tokenFrame';
+
+type StreamEvent = Extract<RouterEvent, { readonly type: 'stream-message' }>;
+
+/**
+ * @param router the router
+ * @param event the message that brought the frame
+ * @param frame the frame
+ */
+export function receiveFrame(
+  router: Router,
+  event: StreamEvent,
+  frame: TokenFrame,
+): RouterDecision {
+  const running = router.requests.get(event.request);
+  if (running === undefined) return dropFrame(router, 'unknown-request');
+  const fault = checkFrame(running, event.attempt, frame);
+  if (fault !== undefined) return dropFrame(router, fault);
+  const next = advance(running, frame, event.atMs);
+  const deliver: RouterEffect = { type: 'deliver', request: frame.request, frame };
+  if (frame.finish !== undefined || next.deliveredCount === running.request.maxTokens) {
+    return finish(router, next, deliver, frame.finish ?? 'length');
+  }
+  const requests = router.requests.set(frame.request, next);
+  return { state: { ...router, requests }, effects: [deliver] };
+}
+
+function dropFrame(router: Router, reason: FrameFault | 'unknown-request'): RouterDecision {
+  const labels = { reason };
+  const effects: readonly RouterEffect[] = [
+    { type: 'count', counter: 'frames_dropped', by: 1, labels },
+  ];
+  return { state: router, effects };
+}
+
+function advance(running: RunningRequest, frame: TokenFrame, atMs: number): RunningRequest {
+  const isFirst = running.deliveredCount === running.deliveredBefore;
+  return {
+    ...running,
+    ...(isFirst ? {} : movePace(running, atMs - running.progressAtMs)),
+    delivered: { token: frame.token, before: running.delivered },
+    deliveredCount: running.deliveredCount + 1,
+    progressAtMs: atMs,
+    mayHaveRun: true,
+    hasRun: true,
+  };
+}
+
+function movePace(
+  { paceMs, paceDeviationMs }: RunningRequest,
+  intervalMs: number,
+): Pick<RunningRequest, 'paceMs' | 'paceDeviationMs'> {
+  if (paceMs === 0) return { paceMs: intervalMs, paceDeviationMs: intervalMs / 2 };
+  const error = intervalMs - paceMs;
+  return {
+    paceMs: paceMs + PACE_WEIGHT * error,
+    paceDeviationMs: paceDeviationMs + PACE_WEIGHT * (Math.abs(error) - paceDeviationMs),
+  };
+}
+
+function finish(
+  router: Router,
+  running: RunningRequest,
+  deliver: RouterEffect,
+  reason: 'stop' | 'length',
+): RouterDecision {
+  const { id } = running.request;
+  return endRequest(router, running, [
+    deliver,
+    { type: 'finish', request: id, finish: reason, attempts: running.attempt },
+    { type: 'clear-timer', timer: `stall/${id}` },
+  ]);
+}
--- /dev/null
+++ b/src/requests/recoverRequest.ts
@@ -0,0 +1,91 @@
+/**
+ * Recovery of a request whose attempt broke: the attempt is shut out and cancelled first, then the
+ * stages are asked for the KV cache that they kept, and the next attempt opens on a route that
+ * leaves the healthy stages in place.
+ */
+
+import type { BackendServerId } from '../backendServers/backendServer';
+import { addressRoute } from './addressRoute';
+import { KV_LOOKUP_MS, MAX_ATTEMPTS } from './constants';
+import { endRequest } from './endRequest';
+import { reopenRequest } from './reopenRequest';
+import { refusalOf } from './refusalOf';
+import { refuse } from './refuse';
+import type { Router, RouterDecision } from './router';
+import type { RouterEffect } from './routerMessage';
+import type { RunningRequest } from './runningRequest';
+
+/** How an attempt broke. */
+export interface Break {
+  /** Stable reason. */
+  readonly reason: string;
+  readonly detail: string;
+  /** Engines that are no longer used for this request. */
+  readonly failed: readonly BackendServerId[];
+  /** `nothing`: proof that the attempt ran nothing; `known`: an engine worked on it. */
+  readonly ran: 'nothing' | 'maybe' | 'known';
+}
+
+/**
+ * @param router the router
+ * @param running the request
+ * @param broke how its attempt broke
+ * @param at when, and randomness for the next choice
+ */
+export function recoverRequest(
+  router: Router,
+  running: RunningRequest,
+  broke: Break,
+  at: { readonly atMs: number; readonly seed: number },
+): RouterDecision {
+  const shutOut = shutOutAttempt(running, broke);
+  const cancel = cancelAttempt(router, running, broke);
+  if (shutOut.attempt > MAX_ATTEMPTS) return giveUp(router, shutOut, broke, cancel);
+  if (running.deliveredCount === 0) {
+    const reopened = reopenRequest(router, shutOut, [], at);
+    return { state: reopened.state, effects: [...cancel, ...reopened.effects] };
+  }
+  const { id } = running.request;
+  const stages = addressRoute(router.configuration, running.route);
+  return {
+    state: { ...router, requests: router.requests.set(id, { ...shutOut, phase: 'finding-kv' }) },
+    effects: [
+      ...cancel,
+      { type: 'find-kv', request: id, attempt: shutOut.attempt, stages },
+      { type: 'set-timer', timer: `kv/${id}`, afterMs: KV_LOOKUP_MS },
+    ],
+  };
+}
+
+function shutOutAttempt(running: RunningRequest, broke: Break): RunningRequest {
+  return {
+    ...running,
+    phase: 'waiting',
+    attempt: running.attempt + 1,
+    avoided: [...new Set([...running.avoided, ...broke.failed])],
+    mayHaveRun: running.mayHaveRun || broke.ran !== 'nothing',
+    hasRun: running.hasRun || broke.ran === 'known',
+  };
+}
+
+function cancelAttempt(
+  router: Router,
+  running: RunningRequest,
+  broke: Break,
+): readonly RouterEffect[] {
+  const { id } = running.request;
+  const clear: RouterEffect = { type: 'clear-timer', timer: `stall/${id}` };
+  if (broke.ran === 'nothing') return [clear];
+  const route = addressRoute(router.configuration, running.route);
+  return [clear, { type: 'cancel-stream', request: id, attempt: running.attempt, route }];
+}
+
+function giveUp(
+  router: Router,
+  running: RunningRequest,
+  broke: Break,
+  effects: readonly RouterEffect[],
+): RouterDecision {
+  const refusal = refusalOf(running, broke.reason, broke.detail);
+  return endRequest(router, running, [...effects, ...refuse(running.request.id, refusal)]);
+}
--- /dev/null
+++ b/src/requests/recoverServer.ts
@@ -0,0 +1,28 @@
+/** Recovers every request that runs on a backend server which crashed. */
+
+import { hash32 } from '../hashing/hash32';
+import { recoverRequest, type Break } from './recoverRequest';
+import type { Router, RouterDecision } from './router';
+import type { RouterEffect, RouterEvent } from './routerMessage';
+
+type ServerCrashed = Extract<RouterEvent, { readonly type: 'server-crashed' }>;
+
+export function recoverServer(router: Router, event: ServerCrashed): RouterDecision {
+  const broke: Break = {
+    reason: 'server-crashed',
+    detail: `Backend server ${event.server} crashed`,
+    failed: [event.server],
+    ran: 'maybe',
+  };
+  let state = router;
+  const effects: RouterEffect[] = [];
+  for (const running of router.requests.values()) {
+    if (running.phase !== 'streaming') continue;
+    if (!running.route.some((stage) => stage.engine === event.server)) continue;
+    const at = { atMs: event.atMs, seed: hash32(running.request.id, event.seed) };
+    const decision = recoverRequest(state, running, broke, at);
+    state = decision.state;
+    effects.push(...decision.effects);
+  }
+  return { state, effects };
+}
--- /dev/null
+++ b/src/requests/reduceRouter.ts
@@ -0,0 +1,40 @@
+/**
+ * The router side of a node as one reducer: takes requests in, checks every token, recovers from
+ * failed stages.
+ */
+
+import { createReducer } from '../decisions/createReducer';
+import { fireTimer } from './fireTimer';
+import { leaveRequest } from './leaveRequest';
+import { planRouter } from './planRouter';
+import { receiveKv } from './receiveKv';
+import { closeStream, receiveStream } from './receiveStream';
+import { recoverServer } from './recoverServer';
+import type { Router, RouterDecision } from './router';
+import type { RouterEffect, RouterEvent } from './routerMessage';
+import { startRequest } from './startRequest';
+
+/** Handles one event of the router side. */
+export const reduceRouter = createReducer<Router, RouterEvent, RouterEffect>({
+  'configuration-changed': (router, { configuration }) =>
+    quiet(planRouter({ ...router, configuration })),
+  'request-received': startRequest,
+  'stream-message': receiveStream,
+  'stream-closed': closeStream,
+  'kv-found': receiveKv,
+  'caller-left': (router, { request }) => leaveRequest(router, request),
+  'server-crashed': recoverServer,
+  'load-reported': quiet,
+  'cache-event': quiet,
+  'servers-changed': (router, { servers }) =>
+    quiet(planRouter({ ...router, health: new Map(servers.map((item) => [item.server, item])) })),
+  'use-learned': quiet,
+  'suspects-learned': quiet,
+  'accepting-changed': (router, { isAccepting, reason }) =>
+    quiet({ ...router, isAccepting, refusalReason: reason }),
+  'timer-fired': fireTimer,
+});
+
+function quiet(router: Router): RouterDecision {
+  return { state: router, effects: [] };
+}
--- /dev/null
+++ b/src/requests/refuse.ts
@@ -0,0 +1,14 @@
+/** The effects that end a request with a refusal. */
+
+import type { Refusal } from '../outcomes/outcome';
+import type { RequestId } from './request';
+import type { RouterEffect } from './routerMessage';
+
+/** @returns the final answer, and the counter of its reason */
+export function refuse(request: RequestId, refusal: Refusal): readonly RouterEffect[] {
+  const labels = { outcome: refusal.outcome, reason: refusal.reason };
+  return [
+    { type: 'refuse', request, refusal },
+    { type: 'count', counter: 'requests_refused', by: 1, labels },
+  ];
+}
--- /dev/null
+++ b/src/requests/router.ts
@@ -0,0 +1,30 @@
+/** State of the router side of a node, and the options it is created with. */
+
+import type { Map } from 'immutable';
+import type { BackendServerId } from '../backendServers/backendServer';
+import type { Configuration } from '../configuration/configuration';
+import type { Decision } from '../decisions/decision';
+import type { ModelId } from '../engines/engine';
+import type { Pipeline } from '../pipelines/pipeline';
+import type { RequestId } from './request';
+import type { RouterEffect, ServerHealth } from './routerMessage';
+import type { RunningRequest } from './runningRequest';
+
+export interface RouterOptions {
+  /** Most requests that this VM runs at once. */
+  readonly maxRunning: number;
+}
+
+export interface Router {
+  readonly options: RouterOptions;
+  readonly configuration: Configuration;
+  readonly health: ReadonlyMap<BackendServerId, ServerHealth>;
+  readonly pipelines: ReadonlyMap<ModelId, Pipeline>;
+  readonly requests: Map<RequestId, RunningRequest>;
+  readonly isAccepting: boolean;
+  /** Why nothing new is accepted; empty while it is. */
+  readonly refusalReason: string;
+}
+
+/** A step of the router: its next state and the effects of the step. */
+export type RouterDecision = Decision<Router, RouterEffect>;
--- /dev/null
+++ b/src/requests/startRequest.ts
@@ -0,0 +1,68 @@
+/** Takes a request in: refuses it at once, or opens its first attempt. */
+
+import { MS_PER_SECOND } from '../units';
+import type { NotRun, Refusal } from '../outcomes/outcome';
+import { chooseRoute } from './chooseRoute';
+import { openAttempt } from './openAttempt';
+import { refuse } from './refuse';
+import type { Request } from './request';
+import type { Router, RouterDecision } from './router';
+import type { RouterEvent } from './routerMessage';
+import type { RunningRequest } from './runningRequest';
+
+type RequestReceived = Extract<RouterEvent, { readonly type: 'request-received' }>;
+
+/** Time after which a caller may come back when nothing better is known, milliseconds. */
+const RETRY_AFTER_MS = MS_PER_SECOND;
+
+export function startRequest(router: Router, event: RequestReceived): RouterDecision {
+  const { request, atMs } = event;
+  const running = createRunning(router, request);
+  if ('outcome' in running) return { state: router, effects: refuse(request.id, running) };
+  const route = chooseRoute(router, running);
+  if (route === undefined) {
+    const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
+    return { state: router, effects: refuse(request.id, refusal) };
+  }
+  return openAttempt(router, running, route, [], atMs);
+}
+
+/** @returns the request as it starts, or why it does not */
+function createRunning(router: Router, request: Request): RunningRequest | Refusal {
+  if (!router.isAccepting) return notRun(router.refusalReason, 'This VM takes no new requests');
+  if (router.requests.has(request.id)) return notRun('repeated-id', 'This request id is running');
+  if (router.requests.size >= router.options.maxRunning) {
+    return notRun('overloaded', 'This VM runs as many requests as it may');
+  }
+  const { configuration } = router;
+  const service = configuration.service.get(`${request.workspace}/${request.service}`);
+  if (service?.kind !== 'model') return notRun('unknown-service', 'No such model service');
+  const model = configuration.model.get(service.model);
+  if (model === undefined) return notRun('unknown-model', 'The model is not configured');
+  if (request.prompt.length + request.maxTokens > service.maxTokens || request.maxTokens < 1) {
+    return { outcome: 'failed', reason: 'too-long', detail: 'Prompt and answer do not fit' };
+  }
+  return {
+    request,
+    model: model.id,
+    layers: model.layers,
+    phase: 'streaming',
+    attempt: 1,
+    route: [],
+    delivered: undefined,
+    deliveredCount: 0,
+    deliveredBefore: 0,
+    openedAtMs: request.receivedAtMs,
+    progressAtMs: request.receivedAtMs,
+    paceMs: 0,
+    paceDeviationMs: 0,
+    expectedFirstMs: 0,
+    avoided: [],
+    mayHaveRun: false,
+    hasRun: false,
+  };
+}
+
+function notRun(reason: string, detail: string): NotRun {
+  return { outcome: 'not-run', reason, detail, retryAfterMs: RETRY_AFTER_MS };
+}
