Recover by a stage's own pace, on a budget

Silence is judged by the stream's own pace; the engine that is blamed is one that brought nothing to any other stream either, and the answers to find-kv clear those that still speak. Work that is done twice draws on a token bucket.

Tests: npm test.

--- a/src/requests/checkFrame.test.ts
+++ b/src/requests/checkFrame.test.ts
@@ -32,6 +32,7 @@
   paceDeviationMs: 1,
   expectedFirstMs: 0,
   avoided: [],
+  doubted: [],
   mayHaveRun: true,
   hasRun: true,
 };
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -15,11 +15,26 @@
 /** Least silence that counts as a stall, milliseconds. */
 export const STALL_FLOOR_MS = 250;
 
-/** Time that a first token may take where nothing is known of the pace, milliseconds. */
-export const FIRST_TOKEN_STALL_MS = 10_000;
+/** Least silence before the first token that counts as a stall, milliseconds. */
+export const FIRST_TOKEN_STALL_MS = 3_000;
+
+/** Expected times to the first token after which a stream counts as stalled before it. */
+export const FIRST_TOKEN_FACTOR = 4;
 
 /** Mean deviations of the token interval by which a frame may be late. */
 export const STALL_DEVIATIONS = 8;
 
 /** Weight of the latest token interval in the moving averages of the pace. */
 export const PACE_WEIGHT = 0.125;
+
+/** Grain in which the last token of an engine is noted, milliseconds. */
+export const SERVED_STEP_MS = 20;
+
+/** Part of each admitted request's work that may be done twice after failures. */
+export const RETRY_SHARE = 0.1;
+
+/** Requests' worth of repeated work that can be saved up. */
+export const RETRY_BURST = 100;
+
+/** Least cost of another attempt to the retry budget, as part of the request's work. */
+export const RETRY_FLOOR = 0.02;
--- a/src/requests/createRouter.ts
+++ b/src/requests/createRouter.ts
@@ -2,7 +2,7 @@
 
 import { Map } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
-import { MAX_RUNNING } from './constants';
+import { MAX_RUNNING, RETRY_BURST } from './constants';
 import type { Router, RouterOptions } from './router';
 
 /**
@@ -16,6 +16,8 @@
     health: new globalThis.Map(),
     pipelines: new globalThis.Map(),
     requests: Map(),
+    engines: Map(),
+    retries: { credit: RETRY_BURST },
     isAccepting: true,
     refusalReason: '',
   };
--- a/src/requests/endRequest.ts
+++ b/src/requests/endRequest.ts
@@ -1,5 +1,6 @@
 /** Ends a request: its final answer goes to the caller, and nothing more is kept of it. */
 
+import { releaseRoute } from './releaseRoute';
 import type { RouterDecision, Router } from './router';
 import type { RouterEffect } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
@@ -15,5 +16,5 @@
   effects: readonly RouterEffect[],
 ): RouterDecision {
   const requests = router.requests.delete(running.request.id);
-  return { state: { ...router, requests }, effects };
+  return { state: { ...releaseRoute(router, running), requests }, effects };
 }
--- a/src/requests/fireTimer.ts
+++ b/src/requests/fireTimer.ts
@@ -1,10 +1,12 @@
 /** Handles the router side's timers: `stall/{request}` and `kv/{request}`. */
 
 import type { TimerFired } from '../decisions/primitive';
-import { FIRST_TOKEN_STALL_MS, STALL_DEVIATIONS, STALL_FLOOR_MS } from './constants';
+import { allowedSilenceMs } from './allowedSilenceMs';
+import { findSilentStages } from './findSilentStages';
 import { recoverRequest } from './recoverRequest';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
+import type { RouterEffect } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
 
 type TimerHandler = (router: Router, running: RunningRequest, event: TimerFired) => RouterDecision;
@@ -25,27 +27,25 @@
 
 function checkStall(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
   if (running.phase !== 'streaming') return { state: router, effects: [] };
-  const leftMs = running.progressAtMs + allowedSilenceMs(running) - event.atMs;
+  const allowedMs = allowedSilenceMs(running);
+  const leftMs = running.progressAtMs + allowedMs - event.atMs;
   if (leftMs > 0) {
     const { timer } = event;
     return { state: router, effects: [{ type: 'set-timer', timer, afterMs: Math.ceil(leftMs) }] };
   }
-  const failed = running.route.slice(0, 1).map((stage) => stage.engine);
+  const silent = findSilentStages(router, running, allowedMs, event.atMs);
   const broke = {
     reason: 'stage-stalled',
-    detail: 'A stage stopped sending',
-    failed,
+    detail: `No token for ${Math.round(allowedMs)} ms`,
+    failed: silent.slice(0, 1),
+    doubted: silent,
     ran: 'maybe',
   } as const;
-  return recoverRequest(router, running, broke, event);
-}
-
-function allowedSilenceMs(running: RunningRequest): number {
-  if (running.deliveredCount === running.deliveredBefore || running.paceMs === 0) {
-    return FIRST_TOKEN_STALL_MS;
-  }
-  const lateMs = running.paceMs + STALL_DEVIATIONS * running.paceDeviationMs;
-  return Math.max(STALL_FLOOR_MS, lateMs);
+  const recovered = recoverRequest(router, running, broke, event);
+  const observed = silent
+    .slice(0, 1)
+    .map((server): RouterEffect => ({ type: 'observe-server', server, observation: 'slow' }));
+  return { ...recovered, effects: [...observed, ...recovered.effects] };
 }
 
 function giveUpOnKv(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
--- a/src/requests/openAttempt.ts
+++ b/src/requests/openAttempt.ts
@@ -1,10 +1,10 @@
 /** Opens the stream of a request's current attempt on a route. */
 
-import type { KvExport } from '../contracts/engineContract';
+import type { AddressedStage } from '../contracts/engineContract';
 import type { Route } from '../pipelines/route';
-import { addressRoute } from './addressRoute';
 import { STALL_CHECK_MS } from './constants';
 import { listTokens } from './listTokens';
+import { occupyRoute } from './occupyRoute';
 import type { Router, RouterDecision } from './router';
 import type { RunningRequest } from './runningRequest';
 
@@ -12,14 +12,14 @@
  * @param router the router
  * @param running the request, with its attempt already raised
  * @param route the route of this attempt
- * @param exports KV exports that its stages may import
+ * @param addressed the same route with addresses and KV imports
  * @param atMs now
  */
 export function openAttempt(
   router: Router,
   running: RunningRequest,
   route: Route,
-  exports: readonly KvExport[],
+  addressed: readonly AddressedStage[],
   atMs: number,
 ): RouterDecision {
   const { request } = running;
@@ -36,14 +36,14 @@
     workspace: request.workspace,
     attempt: running.attempt,
     model: running.model,
-    route: addressRoute(router.configuration, route, exports),
+    route: addressed,
     prompt: request.prompt,
     delivered: listTokens(running.delivered, running.deliveredCount),
     maxTokens: request.maxTokens,
     priority: request.priority,
   };
   return {
-    state: { ...router, requests: router.requests.set(request.id, opened) },
+    state: { ...occupyRoute(router, opened), requests: router.requests.set(request.id, opened) },
     effects: [
       { type: 'open-stream', order },
       { type: 'set-timer', timer: `stall/${request.id}`, afterMs: STALL_CHECK_MS },
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -3,6 +3,8 @@
 import { checkFrame, type FrameFault } from './checkFrame';
 import { PACE_WEIGHT } from './constants';
 import { endRequest } from './endRequest';
+import { isAwaitingFirstToken } from './isAwaitingFirstToken';
+import { serveRoute } from './serveRoute';
 import type { Router, RouterDecision } from './router';
 import type { RouterEffect, RouterEvent } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
@@ -25,12 +27,13 @@
   const fault = checkFrame(running, event.attempt, frame);
   if (fault !== undefined) return dropFrame(router, fault);
   const next = advance(running, frame, event.atMs);
+  const served = serveRoute(router, running, event.atMs);
   const deliver: RouterEffect = { type: 'deliver', request: frame.request, frame };
   if (frame.finish !== undefined || next.deliveredCount === running.request.maxTokens) {
-    return finish(router, next, deliver, frame.finish ?? 'length');
+    return finish(served, next, deliver, frame.finish ?? 'length');
   }
   const requests = router.requests.set(frame.request, next);
-  return { state: { ...router, requests }, effects: [deliver] };
+  return { state: { ...served, requests }, effects: [deliver] };
 }
 
 function dropFrame(router: Router, reason: FrameFault | 'unknown-request'): RouterDecision {
@@ -42,10 +45,9 @@
 }
 
 function advance(running: RunningRequest, frame: TokenFrame, atMs: number): RunningRequest {
-  const isFirst = running.deliveredCount === running.deliveredBefore;
   return {
     ...running,
-    ...(isFirst ? {} : movePace(running, atMs - running.progressAtMs)),
+    ...(isAwaitingFirstToken(running) ? {} : movePace(running, atMs - running.progressAtMs)),
     delivered: { token: frame.token, before: running.delivered },
     deliveredCount: running.deliveredCount + 1,
     progressAtMs: atMs,
--- a/src/requests/receiveKv.ts
+++ b/src/requests/receiveKv.ts
@@ -1,8 +1,10 @@
 /** Opens the next attempt once the engines have said what KV cache they kept. */
 
+import type { KvExport } from '../contracts/engineContract';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
 import type { RouterEvent } from './routerMessage';
+import type { RunningRequest } from './runningRequest';
 
 type KvFound = Extract<RouterEvent, { readonly type: 'kv-found' }>;
 
@@ -12,7 +14,18 @@
   const isAwaited = running?.phase === 'finding-kv' && running.attempt === event.attempt;
   if (!isAwaited) return { state: router, effects: [] };
   const exports = event.exports.filter((item) => item.request === event.request);
-  const reopened = reopenRequest(router, running, exports, event);
+  const cleared = clearDoubt(running, exports);
+  const reopened = reopenRequest(router, cleared, exports, event);
   const timer = `kv/${event.request}`;
   return { state: reopened.state, effects: [{ type: 'clear-timer', timer }, ...reopened.effects] };
 }
+
+/** A doubted engine that answered is cleared where another did not: that one is avoided instead. */
+function clearDoubt(running: RunningRequest, exports: readonly KvExport[]): RunningRequest {
+  const answered = new Set(exports.map((item) => item.engine));
+  const mute = running.doubted.filter((engine) => !answered.has(engine));
+  const isTelling = mute.length > 0 && mute.length < running.doubted.length;
+  if (!isTelling) return running;
+  const avoided = running.avoided.filter((engine) => !running.doubted.includes(engine));
+  return { ...running, avoided: [...avoided, ...mute], doubted: [] };
+}
--- a/src/requests/recoverRequest.ts
+++ b/src/requests/recoverRequest.ts
@@ -8,6 +8,7 @@
 import { addressRoute } from './addressRoute';
 import { KV_LOOKUP_MS, MAX_ATTEMPTS } from './constants';
 import { endRequest } from './endRequest';
+import { releaseRoute } from './releaseRoute';
 import { reopenRequest } from './reopenRequest';
 import { refusalOf } from './refusalOf';
 import { refuse } from './refuse';
@@ -22,6 +23,8 @@
   readonly detail: string;
   /** Engines that are no longer used for this request. */
   readonly failed: readonly BackendServerId[];
+  /** Engines of which one stalled; the answer to `find-kv` may tell which. */
+  readonly doubted?: readonly BackendServerId[];
   /** `nothing`: proof that the attempt ran nothing; `known`: an engine worked on it. */
   readonly ran: 'nothing' | 'maybe' | 'known';
 }
@@ -40,15 +43,16 @@
 ): RouterDecision {
   const shutOut = shutOutAttempt(running, broke);
   const cancel = cancelAttempt(router, running, broke);
-  if (shutOut.attempt > MAX_ATTEMPTS) return giveUp(router, shutOut, broke, cancel);
+  const freed = releaseRoute(router, running);
+  if (shutOut.attempt > MAX_ATTEMPTS) return giveUp(freed, shutOut, broke, cancel);
   if (running.deliveredCount === 0) {
-    const reopened = reopenRequest(router, shutOut, [], at);
+    const reopened = reopenRequest(freed, shutOut, [], at);
     return { state: reopened.state, effects: [...cancel, ...reopened.effects] };
   }
   const { id } = running.request;
   const stages = addressRoute(router.configuration, running.route);
   return {
-    state: { ...router, requests: router.requests.set(id, { ...shutOut, phase: 'finding-kv' }) },
+    state: { ...freed, requests: freed.requests.set(id, { ...shutOut, phase: 'finding-kv' }) },
     effects: [
       ...cancel,
       { type: 'find-kv', request: id, attempt: shutOut.attempt, stages },
@@ -63,6 +67,7 @@
     phase: 'waiting',
     attempt: running.attempt + 1,
     avoided: [...new Set([...running.avoided, ...broke.failed])],
+    doubted: broke.doubted ?? [],
     mayHaveRun: running.mayHaveRun || broke.ran !== 'nothing',
     hasRun: running.hasRun || broke.ran === 'known',
   };
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -6,7 +6,9 @@
 import type { Decision } from '../decisions/decision';
 import type { ModelId } from '../engines/engine';
 import type { Pipeline } from '../pipelines/pipeline';
+import type { EngineUse } from './engineUse';
 import type { RequestId } from './request';
+import type { RetryBudget } from './retryBudget';
 import type { RouterEffect, ServerHealth } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
 
@@ -21,6 +23,8 @@
   readonly health: ReadonlyMap<BackendServerId, ServerHealth>;
   readonly pipelines: ReadonlyMap<ModelId, Pipeline>;
   readonly requests: Map<RequestId, RunningRequest>;
+  readonly engines: Map<BackendServerId, EngineUse>;
+  readonly retries: RetryBudget;
   readonly isAccepting: boolean;
   /** Why nothing new is accepted; empty while it is. */
   readonly refusalReason: string;
--- a/src/requests/runningRequest.ts
+++ b/src/requests/runningRequest.ts
@@ -37,6 +37,8 @@
   readonly expectedFirstMs: number;
   /** Engines that failed this request; no later attempt uses them. */
   readonly avoided: readonly BackendServerId[];
+  /** Engines of which one stalled the last attempt, the likeliest first. */
+  readonly doubted: readonly BackendServerId[];
   /** False while every attempt so far provably ran nothing. */
   readonly mayHaveRun: boolean;
   /** True once an engine is known to have worked on it. */
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -2,7 +2,9 @@
 
 import { MS_PER_SECOND } from '../units';
 import type { NotRun, Refusal } from '../outcomes/outcome';
+import { addressRoute } from './addressRoute';
 import { chooseRoute } from './chooseRoute';
+import { earnRetry } from './earnRetry';
 import { openAttempt } from './openAttempt';
 import { refuse } from './refuse';
 import type { Request } from './request';
@@ -24,7 +26,8 @@
     const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
     return { state: router, effects: refuse(request.id, refusal) };
   }
-  return openAttempt(router, running, route, [], atMs);
+  const earned = { ...router, retries: earnRetry(router.retries) };
+  return openAttempt(earned, running, route, addressRoute(router.configuration, route), atMs);
 }
 
 /** @returns the request as it starts, or why it does not */
@@ -58,6 +61,7 @@
     paceDeviationMs: 0,
     expectedFirstMs: 0,
     avoided: [],
+    doubted: [],
     mayHaveRun: false,
     hasRun: false,
   };
