Spread routes by the decomposition of a maximum flow

Requests draw two of the flow's paths by the hash of their content and take the less loaded, and likewise the engine of each stage.

Tests: npm test.

--- a/src/pipelines/findRoute.ts
+++ b/src/pipelines/findRoute.ts
@@ -1,33 +1,50 @@
-/** Finds any route through a set of engines; the last resort where no planned route is left. */
+/** Finds a route through a set of engines, where no planned path fits. */
 
-import type { Engine } from '../engines/engine';
+import type { BackendServerId } from '../backendServers/backendServer';
+import type { Engine, LayerRange } from '../engines/engine';
 import type { Route, Stage } from './route';
 
 /**
- * Covers `[0, layers)` with the fewest engines, always taking the one that reaches furthest.
+ * Covers a range of layers with the fewest engines: always takes the one that reaches furthest, and
+ * among equals the least loaded.
  *
- * @param engines engines of one model that may be used, in order of preference among equals
- * @param layers layers of the model
- * @param from first layer to cover
+ * @param engines engines of one model that may be used
+ * @param layers the layers to cover
+ * @param loadOf load of an engine; compared only with that of others
  * @returns the route, or undefined where some layer is held by none of them
  */
-export function findRoute(engines: readonly Engine[], layers: number, from = 0): Route | undefined {
+export function findRoute(
+  engines: readonly Engine[],
+  layers: LayerRange,
+  loadOf: (engine: BackendServerId) => number,
+): Route | undefined {
   const stages: Stage[] = [];
-  for (let next = from; next < layers;) {
-    const best = findFurthest(engines, next);
+  for (let from = layers.from; from < layers.to;) {
+    const best = findFurthest(engines, { from, to: layers.to }, loadOf);
     if (best === undefined) return undefined;
-    const to = Math.min(best.layers.to, layers);
-    stages.push({ engine: best.id, layers: { from: next, to } });
-    next = to;
+    const to = Math.min(best.layers.to, layers.to);
+    stages.push({ engine: best.id, layers: { from, to } });
+    from = to;
   }
   return stages;
 }
 
-function findFurthest(engines: readonly Engine[], layer: number): Engine | undefined {
+function findFurthest(
+  engines: readonly Engine[],
+  { from, to }: LayerRange,
+  loadOf: (engine: BackendServerId) => number,
+): Engine | undefined {
   let best: Engine | undefined;
+  let bestReach = from;
+  let bestLoad = Infinity;
   for (const engine of engines) {
-    if (engine.layers.from > layer || engine.layers.to <= layer) continue;
-    if (best === undefined || engine.layers.to > best.layers.to) best = engine;
+    const reach = Math.min(engine.layers.to, to);
+    if (engine.layers.from > from || reach <= from || reach < bestReach) continue;
+    const load = loadOf(engine.id);
+    if (reach === bestReach && load >= bestLoad) continue;
+    best = engine;
+    bestReach = reach;
+    bestLoad = load;
   }
   return best;
 }
--- a/src/pipelines/pipeline.ts
+++ b/src/pipelines/pipeline.ts
@@ -1,12 +1,17 @@
 /** The routes that a model's requests are spread over, planned from configuration and health. */
 
 import type { BackendServerId } from '../backendServers/backendServer';
-import type { Engine, ModelId } from '../engines/engine';
-import type { Route } from './route';
+import type { Engine, LayerRange, ModelId } from '../engines/engine';
 
-/** A route and the rate that the plan gives it. */
-export interface PlannedRoute {
-  readonly route: Route;
+/** One stage of a planned path: any of these engines may run the layers. */
+export interface PlannedStage {
+  readonly engines: readonly BackendServerId[];
+  readonly layers: LayerRange;
+}
+
+/** Stages over classes of alike engines, and the rate that the plan gives them. */
+export interface PlannedPath {
+  readonly stages: readonly PlannedStage[];
   readonly tokensPerSecond: number;
 }
 
@@ -15,11 +20,11 @@
   readonly layers: number;
   /** Engines of the model that may get new work. */
   readonly engines: readonly Engine[];
-  readonly routes: readonly PlannedRoute[];
-  /** Running sums of the routes' rates, for a draw by binary search. */
+  readonly paths: readonly PlannedPath[];
+  /** Running sums of the paths' rates, for a draw by binary search. */
   readonly cumulativeRates: readonly number[];
   /** Planned rate through each engine, tokens a second. */
   readonly engineRates: ReadonlyMap<BackendServerId, number>;
-  /** Planned rate of all routes, tokens a second. */
+  /** Planned rate of all paths, tokens a second. */
   readonly tokensPerSecond: number;
 }
--- a/src/pipelines/repairRoute.ts
+++ b/src/pipelines/repairRoute.ts
@@ -7,11 +7,16 @@
 
 /**
  * @param route the route of the last attempt
- * @param engines engines that may be used, in order of preference among equals
+ * @param engines engines that may be used
+ * @param loadOf load of an engine; the least loaded one takes a failed stage over
  * @returns a route whose stages are the old ones where their engine is among `engines`, or undefined
  *   where some layer is held by none of them
  */
-export function repairRoute(route: Route, engines: readonly Engine[]): Route | undefined {
+export function repairRoute(
+  route: Route,
+  engines: readonly Engine[],
+  loadOf: (engine: BackendServerId) => number,
+): Route | undefined {
   const usable = new Set<BackendServerId>(engines.map((engine) => engine.id));
   const stages: Stage[] = [];
   for (const part of splitRoute(route, usable)) {
@@ -19,7 +24,7 @@
       stages.push(part.kept);
       continue;
     }
-    const replacement = findRoute(engines, part.layers.to, part.layers.from);
+    const replacement = findRoute(engines, part.layers, loadOf);
     if (replacement === undefined) return undefined;
     stages.push(...replacement);
   }
--- a/src/requests/chooseRoute.ts
+++ b/src/requests/chooseRoute.ts
@@ -1,23 +1,106 @@
-/** Chooses the route of an attempt. */
+/**
+ * Chooses the route of an attempt. A new request draws two paths by their planned rates and takes
+ * the less loaded (the power of two choices: Mitzenmacher, IEEE TPDS 12(10), 2001), and does the same
+ * for the engine of each stage. The draws come from the request's content, so that the same content
+ * meets the same few engines on every VM: their prefix caches help it, and if it crashes them, it
+ * crashes few.
+ */
 
-import type { Route } from '../pipelines/route';
+import type { BackendServerId } from '../backendServers/backendServer';
+import { hash32 } from '../hashing/hash32';
 import { findRoute } from '../pipelines/findRoute';
+import type { Pipeline, PlannedPath, PlannedStage } from '../pipelines/pipeline';
 import { repairRoute } from '../pipelines/repairRoute';
+import type { Route, Stage } from '../pipelines/route';
+import { loadOf } from './loadOf';
 import type { Router } from './router';
 import type { RunningRequest } from './runningRequest';
 
+/** Values of a 32-bit hash. */
+const HASHES = 0x1_0000_0000;
+
+/** Draws for each choice. */
+const DRAWS = [0, 1] as const;
+
+interface Candidate {
+  readonly route: Route;
+  readonly load: number;
+}
+
 /**
  * @param router the router
  * @param running the request; engines that it avoids are left out
+ * @param atMs now
  * @returns the route, or undefined where the usable engines do not hold every layer
  */
-export function chooseRoute(router: Router, running: RunningRequest): Route | undefined {
+export function chooseRoute(
+  router: Router,
+  running: RunningRequest,
+  atMs: number,
+): Route | undefined {
   const pipeline = router.pipelines.get(running.model);
   if (pipeline === undefined) return undefined;
+  const load = (engine: BackendServerId): number => loadOf(router, pipeline, engine, atMs);
+  if (running.avoided.length === 0 && running.route.length === 0) {
+    const planned = choosePlanned(pipeline, running.request.fingerprint, load);
+    if (planned !== undefined) return planned;
+  }
   const engines = pipeline.engines.filter((engine) => !running.avoided.includes(engine.id));
-  if (running.route.length > 0) return repairRoute(running.route, engines);
-  const planned = pipeline.routes.find(({ route }) =>
-    route.every((stage) => !running.avoided.includes(stage.engine)),
-  );
-  return planned?.route ?? findRoute(engines, running.layers);
+  if (running.route.length > 0) return repairRoute(running.route, engines, load);
+  return findRoute(engines, { from: 0, to: running.layers }, load);
+}
+
+function choosePlanned(
+  pipeline: Pipeline,
+  fingerprint: string,
+  load: (engine: BackendServerId) => number,
+): Route | undefined {
+  let best: Candidate | undefined;
+  for (const draw of DRAWS) {
+    const path = drawPath(pipeline, hash32(fingerprint, draw));
+    if (path === undefined) return undefined;
+    const candidate = fillPath(path, fingerprint, draw, load);
+    if (best === undefined || candidate.load < best.load) best = candidate;
+  }
+  return best?.route;
+}
+
+/** The path into whose part of the total rate the hash falls. */
+function drawPath(pipeline: Pipeline, hash: number): PlannedPath | undefined {
+  const wanted = (hash / HASHES) * pipeline.tokensPerSecond;
+  let low = 0;
+  let high = pipeline.cumulativeRates.length - 1;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((pipeline.cumulativeRates[middle] ?? Infinity) > wanted) high = middle;
+    else low = middle + 1;
+  }
+  return pipeline.paths[low];
+}
+
+function fillPath(
+  path: PlannedPath,
+  fingerprint: string,
+  draw: number,
+  load: (engine: BackendServerId) => number,
+): Candidate {
+  let worst = 0;
+  const route = path.stages.map((stage, index): Stage => {
+    const engine = pickEngine(stage, hash32(fingerprint, 2 + draw + 2 * index), load);
+    worst = Math.max(worst, load(engine));
+    return { engine, layers: stage.layers };
+  });
+  return { route, load: worst };
+}
+
+function pickEngine(
+  { engines }: PlannedStage,
+  hash: number,
+  load: (engine: BackendServerId) => number,
+): BackendServerId {
+  const first = engines[hash % engines.length] ?? '';
+  if (engines.length === 1) return first;
+  const offset = 1 + (Math.floor(hash / engines.length) % (engines.length - 1));
+  const second = engines[((hash % engines.length) + offset) % engines.length] ?? first;
+  return load(second) < load(first) ? second : first;
 }
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -27,6 +27,15 @@
 /** Weight of the latest token interval in the moving averages of the pace. */
 export const PACE_WEIGHT = 0.125;
 
+/** Mean prompt before any request was seen, tokens. */
+export const PROMPT_TOKENS = 256;
+
+/** Mean answer before any request was seen, tokens. */
+export const ANSWER_TOKENS = 128;
+
+/** Age at which a load report counts half, milliseconds. */
+export const REPORT_HALF_LIFE_MS = 500;
+
 /** Grain in which the last token of an engine is noted, milliseconds. */
 export const SERVED_STEP_MS = 20;
 
--- a/src/requests/createRouter.ts
+++ b/src/requests/createRouter.ts
@@ -2,7 +2,8 @@
 
 import { Map } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
-import { MAX_RUNNING, RETRY_BURST } from './constants';
+import { chooseRoute } from './chooseRoute';
+import { ANSWER_TOKENS, MAX_RUNNING, PROMPT_TOKENS, RETRY_BURST } from './constants';
 import type { Router, RouterOptions } from './router';
 
 /**
@@ -11,12 +12,14 @@
  */
 export function createRouter(options: Partial<RouterOptions> = {}): Router {
   return {
-    options: { maxRunning: MAX_RUNNING, ...options },
+    options: { maxRunning: MAX_RUNNING, chooseRoute, ...options },
     configuration: createConfiguration(),
     health: new globalThis.Map(),
     pipelines: new globalThis.Map(),
     requests: Map(),
     engines: Map(),
+    acceptingVms: 1,
+    workload: { promptTokens: PROMPT_TOKENS, answerTokens: ANSWER_TOKENS },
     retries: { credit: RETRY_BURST },
     isAccepting: true,
     refusalReason: '',
--- a/src/requests/planRouter.ts
+++ b/src/requests/planRouter.ts
@@ -1,29 +1,49 @@
 /** Plans every model's routes anew after a change of configuration or health. */
 
 import type { Engine, ModelId } from '../engines/engine';
+import type { Fleet } from '../pipelines/fleet';
 import type { Pipeline } from '../pipelines/pipeline';
 import { planPipeline } from '../pipelines/planPipeline';
 import type { Router } from './router';
 
 /** @returns the router with routes planned over the engines that may get new work */
 export function planRouter(router: Router): Router {
-  const { configuration, health } = router;
-  const usable = [...configuration.engine.values()].filter((engine) => isUsable(engine, router));
+  const { configuration, workload } = router;
+  const byModel = groupByModel(router);
+  const links = [...configuration.link.values()].map((link) => ({
+    ...link,
+    bytesPerSecond: link.bytesPerSecond / Math.max(1, byModel.size),
+  }));
+  const pipelines = new Map<ModelId, Pipeline>();
+  for (const model of configuration.model.values()) {
+    const fleet: Fleet = {
+      model,
+      engines: byModel.get(model.id) ?? [],
+      acceleratorKinds: configuration.acceleratorKind,
+      failureDomainOf: (engine) => configuration.backendServer.get(engine)?.failureDomain ?? '',
+      weightOf: (engine) => router.health.get(engine)?.weight ?? 1,
+      links,
+      workload,
+    };
+    pipelines.set(model.id, planPipeline(fleet));
+  }
+  return { ...router, pipelines };
+}
+
+function groupByModel(router: Router): ReadonlyMap<ModelId, readonly Engine[]> {
   const byModel = new Map<ModelId, Engine[]>();
-  for (const engine of usable) {
+  for (const engine of router.configuration.engine.values()) {
+    if (!isUsable(engine, router)) continue;
     const list = byModel.get(engine.model) ?? [];
     list.push(engine);
     byModel.set(engine.model, list);
   }
-  const pipelines = new Map<ModelId, Pipeline>();
-  for (const model of configuration.model.values()) {
-    pipelines.set(model.id, planPipeline(model, byModel.get(model.id) ?? []));
-  }
-  return { ...router, health, pipelines };
+  return byModel;
 }
 
 function isUsable(engine: Engine, { configuration, health }: Router): boolean {
   const server = configuration.backendServer.get(engine.id);
-  if (server === undefined || server.leaving || engine.role === 'idle') return false;
+  if (server === undefined || server.leaving) return false;
+  if (engine.role === 'idle' || engine.role === 'prefill') return false;
   return health.get(engine.id)?.isUsable ?? true;
 }
--- a/src/requests/reduceRouter.ts
+++ b/src/requests/reduceRouter.ts
@@ -10,6 +10,7 @@
 import { receiveKv } from './receiveKv';
 import { closeStream, receiveStream } from './receiveStream';
 import { recoverServer } from './recoverServer';
+import { reportLoad } from './reportLoad';
 import type { Router, RouterDecision } from './router';
 import type { RouterEffect, RouterEvent } from './routerMessage';
 import { startRequest } from './startRequest';
@@ -24,11 +25,11 @@
   'kv-found': receiveKv,
   'caller-left': (router, { request }) => leaveRequest(router, request),
   'server-crashed': recoverServer,
-  'load-reported': quiet,
+  'load-reported': (router, event) => quiet(reportLoad(router, event)),
   'cache-event': quiet,
   'servers-changed': (router, { servers }) =>
     quiet(planRouter({ ...router, health: new Map(servers.map((item) => [item.server, item])) })),
-  'use-learned': quiet,
+  'use-learned': (router, { acceptingVms }) => quiet({ ...router, acceptingVms }),
   'suspects-learned': quiet,
   'accepting-changed': (router, { isAccepting, reason }) =>
     quiet({ ...router, isAccepting, refusalReason: reason }),
--- a/src/requests/reopenRequest.ts
+++ b/src/requests/reopenRequest.ts
@@ -3,7 +3,6 @@
 import type { AddressedStage, KvExport } from '../contracts/engineContract';
 import type { Refusal } from '../outcomes/outcome';
 import { addressRoute } from './addressRoute';
-import { chooseRoute } from './chooseRoute';
 import { RETRY_FLOOR } from './constants';
 import { endRequest } from './endRequest';
 import { openAttempt } from './openAttempt';
@@ -26,7 +25,7 @@
   exports: readonly KvExport[],
   at: { readonly atMs: number; readonly seed: number },
 ): RouterDecision {
-  const route = chooseRoute(router, running);
+  const route = router.options.chooseRoute(router, running, at.atMs);
   if (route === undefined) {
     return end(router, running, 'no-route', 'No usable engine can take the failed stage over');
   }
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -6,15 +6,26 @@
 import type { Decision } from '../decisions/decision';
 import type { ModelId } from '../engines/engine';
 import type { Pipeline } from '../pipelines/pipeline';
+import type { Route } from '../pipelines/route';
+import type { Workload } from '../pipelines/workload';
 import type { EngineUse } from './engineUse';
 import type { RequestId } from './request';
 import type { RetryBudget } from './retryBudget';
 import type { RouterEffect, ServerHealth } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
 
+/** @returns the route, or undefined where the usable engines do not hold every layer */
+export type RouteChoice = (
+  router: Router,
+  running: RunningRequest,
+  atMs: number,
+) => Route | undefined;
+
 export interface RouterOptions {
   /** Most requests that this VM runs at once. */
   readonly maxRunning: number;
+  /** Chooses the route of an attempt; measurements put plain baselines in its place. */
+  readonly chooseRoute: RouteChoice;
 }
 
 export interface Router {
@@ -25,6 +36,10 @@
   readonly requests: Map<RequestId, RunningRequest>;
   readonly engines: Map<BackendServerId, EngineUse>;
   readonly retries: RetryBudget;
+  /** VMs that accept new work, this one included. */
+  readonly acceptingVms: number;
+  /** Mean shape of the requests of late. */
+  readonly workload: Workload;
   readonly isAccepting: boolean;
   /** Why nothing new is accepted; empty while it is. */
   readonly refusalReason: string;
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -3,7 +3,6 @@
 import { MS_PER_SECOND } from '../units';
 import type { NotRun, Refusal } from '../outcomes/outcome';
 import { addressRoute } from './addressRoute';
-import { chooseRoute } from './chooseRoute';
 import { earnRetry } from './earnRetry';
 import { openAttempt } from './openAttempt';
 import { refuse } from './refuse';
@@ -21,7 +20,7 @@
   const { request, atMs } = event;
   const running = createRunning(router, request);
   if ('outcome' in running) return { state: router, effects: refuse(request.id, running) };
-  const route = chooseRoute(router, running);
+  const route = router.options.chooseRoute(router, running, atMs);
   if (route === undefined) {
     const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
     return { state: router, effects: refuse(request.id, refusal) };
