Dispatch operations at most once and refuse them truly

Cause: bookings, deposits and seat holds must run at most once, and a caller who is told not-run must be able to rely on it. Change: the operations side as a pure reducer. An operation under a signed ticket is dispatched by its home alone, from memory; repeats get the same result or wait for the running one; other VMs forward. Left: callers' own keys (refused as not-run for now), results in the table.

--- /dev/null
+++ b/src/operations/findMethod.ts
@@ -0,0 +1,30 @@
+/** Finds what the configuration says about a call. */
+
+import { findContract } from '../backendServers/findContract';
+import type { Configuration } from '../configuration/configuration';
+import type { MethodContract } from '../contracts/methodContract';
+import type { Refusal } from '../outcomes/outcome';
+import type { PlainService } from '../services/service';
+import type { PlainCall } from './operationMessage';
+
+/** The service and contract of a call, or why there is none. */
+export type FoundMethod =
+  | { readonly type: 'found'; readonly service: PlainService; readonly contract: MethodContract }
+  | { readonly type: 'missing'; readonly refusal: Refusal };
+
+/** Looks the call's service, method and path up. */
+export function findMethod(configuration: Configuration, call: PlainCall): FoundMethod {
+  const service = configuration.service.get(`${call.workspace}/${call.service}`);
+  if (service?.kind !== 'plain') {
+    return missing('service-unknown', `The workspace has no plain service ${call.service}`);
+  }
+  const contract = findContract(service.contracts, call.method, call.path);
+  if (contract === undefined) {
+    return missing('method-unknown', `No contract covers ${call.method} ${call.path}`);
+  }
+  return { type: 'found', service, contract };
+}
+
+function missing(reason: string, detail: string): FoundMethod {
+  return { type: 'missing', refusal: { outcome: 'failed', reason, detail } };
+}
--- /dev/null
+++ b/src/operations/grantTicket.ts
@@ -0,0 +1,26 @@
+/** Grants a ticket under which a caller numbers its operations; this VM is their home. */
+
+import type { CallId } from '../decisions/primitive';
+import type { WorkspaceId } from '../workspaces/workspace';
+import type { OperationsState } from './operationsState';
+import { refuseCall } from './refuseCall';
+import { signTicket } from './signTicket';
+import { step, type OperationsStep } from './step';
+
+/** Signs the next ticket with the current key; a VM that takes no new work grants none. */
+export function grantTicket(
+  state: OperationsState,
+  call: CallId,
+  workspace: WorkspaceId,
+): OperationsStep {
+  if (!state.isAccepting || state.isDraining) {
+    const reason = state.isDraining ? 'draining' : state.refusalReason;
+    const detail = 'This VM takes no new work';
+    return refuseCall(state, call, { outcome: 'not-run', reason, detail });
+  }
+  const { vm, incarnation, ticketKeys } = state.options;
+  const [key = ''] = ticketKeys;
+  const ticket = signTicket({ workspace, vm, incarnation, serial: state.nextSerial }, key);
+  const next = { ...state, nextSerial: state.nextSerial + 1 };
+  return step(next, { type: 'grant-ticket', call, ticket });
+}
--- a/src/operations/operationMessage.ts
+++ b/src/operations/operationMessage.ts
@@ -27,6 +27,8 @@
   readonly operation?: OperationId;
   /** The VM that forwarded it; undefined where it came from the caller. */
   readonly forwardedBy?: VmId;
+  /** Set where only the outcome is asked for; such a call never runs anything. */
+  readonly asksOutcome?: boolean;
 }
 
 export interface PlainAnswer {
--- /dev/null
+++ b/src/operations/reduceOperations.ts
@@ -0,0 +1,62 @@
+/**
+ * The decisions of the operations side of a node: what must not repeat leaves the fleet at most once,
+ * and every refusal says truly whether anything ran.
+ */
+
+import type { Handlers } from '../decisions/decision';
+import { createReducer } from '../decisions/createReducer';
+import { finishDispatch } from './finishDispatch';
+import { finishForward } from './finishForward';
+import { grantTicket } from './grantTicket';
+import type { OperationEffect, OperationEvent } from './operationMessage';
+import type { OperationsState } from './operationsState';
+import { receiveCall } from './receiveCall';
+import { fireTimer } from './fireTimer';
+import { step } from './step';
+
+const handlers: Handlers<OperationsState, OperationEvent, OperationEffect> = {
+  'configuration-changed': (state, { configuration }) => step({ ...state, configuration }),
+  'call-received': (state, event) => receiveCall(state, event.call, event),
+  'backend-answered': finishDispatch,
+  'backend-failed': finishDispatch,
+  forwarded: finishForward,
+  'ticket-asked': (state, { call, workspace }) => grantTicket(state, call, workspace),
+  'operation-asked': (state, event) =>
+    receiveCall(
+      state,
+      {
+        call: event.call,
+        workspace: event.workspace,
+        operation: event.operation,
+        asksOutcome: true,
+        service: '',
+        method: 'GET',
+        path: '',
+        body: '',
+        contentType: '',
+      },
+      event,
+    ),
+  'vms-changed': (state, { vms }) => step({ ...state, vms }),
+  'servers-changed': (state, { servers }) => {
+    const health = state.health.withMutations((map) => {
+      for (const server of servers) map.set(server.server, server);
+    });
+    return step({ ...state, health });
+  },
+  'accepting-changed': (state, { isAccepting, reason }) =>
+    step({ ...state, isAccepting, refusalReason: reason }),
+  'drain-started': (state) => {
+    const isDone = state.running.isEmpty() && state.unrecorded.isEmpty();
+    return step(
+      { ...state, isDraining: true },
+      ...(isDone ? [{ type: 'handed-over' } as const] : []),
+    );
+  },
+  'timer-fired': (state, event) => fireTimer(state, event.timer, event),
+  transacted: (state) => step(state),
+  'rows-read': (state) => step(state),
+};
+
+/** Decides on one event; the only entry to this side. */
+export const reduceOperations = createReducer(handlers);
--- /dev/null
+++ b/src/operations/signTicket.ts
@@ -0,0 +1,21 @@
+/**
+ * Tickets as text: the claims as base64url JSON, then an HMAC-SHA-256 over them (RFC 2104). Any VM
+ * that has the key can check one without asking its home.
+ */
+
+import { computeMac } from './computeMac';
+import type { Ticket } from './operation';
+import { TICKET_PREFIX } from './operationLimits';
+
+/**
+ * Signs a ticket.
+ *
+ * @param ticket what it claims
+ * @param key secret that signs it
+ * @returns text without `/`, for callers to put before `/sequence`
+ */
+export function signTicket(ticket: Ticket, key: string): string {
+  const claims = [ticket.workspace, ticket.vm, ticket.incarnation, ticket.serial];
+  const body = Buffer.from(JSON.stringify(claims)).toString('base64url');
+  return `${TICKET_PREFIX}${body}.${computeMac(body, key)}`;
+}
