--- /dev/null
+++ b/src/node/createNode.ts
@@ -0,0 +1,44 @@
+/** The state of a VM's four sides and the reducer that joins them. */
+
+import { createOperations } from '../operations/createOperations';
+import { reduceOperations } from '../operations/reduceOperations';
+import { createRouter } from '../requests/createRouter';
+import { reduceRouter } from '../requests/reduceRouter';
+import type { Incarnation } from '../vms/vm';
+import { createNodeReducer } from './createNodeReducer';
+import type { Node } from './createNodeReducer';
+import { createPlaceholder, reducePlaceholderFleet, reducePlaceholderPlans } from './placeholder';
+import type { Placeholder } from './placeholder';
+import type { Settings } from './settings';
+
+export type RouterNode = Node<
+  ReturnType<typeof createRouter>,
+  ReturnType<typeof createOperations>,
+  Placeholder,
+  Placeholder
+>;
+
+/** Drives all four sides. */
+export const reduceNode = createNodeReducer({
+  router: reduceRouter,
+  operations: reduceOperations,
+  fleet: reducePlaceholderFleet,
+  plans: reducePlaceholderPlans,
+});
+
+/**
+ * Creates a node that has not started.
+ *
+ * @param settings the VM's settings
+ * @param incarnation this life of the VM
+ */
+export function createNode(settings: Settings, incarnation: Incarnation): RouterNode {
+  const { keys, vm, limits } = settings;
+  const ticketKeys = keys.previous === undefined ? [keys.current] : [keys.current, keys.previous];
+  return {
+    router: createRouter({ maxRunning: limits.concurrentRequests }),
+    operations: createOperations({ vm: vm.id, incarnation, ticketKeys }),
+    fleet: createPlaceholder(),
+    plans: createPlaceholder(),
+  };
+}
--- /dev/null
+++ b/src/node/createWaiting.ts
@@ -0,0 +1,15 @@
+/** Those who wait for answers of one node. */
+
+import { createPendingCalls } from '../adapters/createPendingCalls';
+import type { Waiting } from '../adapters/exchange';
+
+/** Starts with nobody waiting. */
+export function createWaiting(): Waiting {
+  return {
+    streams: new Map(),
+    calls: createPendingCalls(),
+    tickets: createPendingCalls(),
+    addresses: createPendingCalls(),
+    operators: createPendingCalls(),
+  };
+}
--- /dev/null
+++ b/src/node/refuseFaulty.ts
@@ -0,0 +1,41 @@
+/** Ends the request or call whose decision threw, so that its caller is not left waiting. */
+
+import type { Waiting } from '../adapters/exchange';
+import type { Refusal } from '../outcomes/outcome';
+import type { NodeEvent } from './nodeMessage';
+
+const FAILED: Refusal = {
+  outcome: 'failed',
+  reason: 'invariant-violated',
+  detail: 'the router met a state that must not be and gave the request up',
+};
+
+const UNKNOWN: Refusal = { ...FAILED, outcome: 'unknown' };
+
+/**
+ * Refuses whoever waits for the outcome of an event.
+ *
+ * @param cause the event whose decision threw
+ * @param waiting those who wait
+ */
+export function refuseFaulty({ event }: NodeEvent, waiting: Waiting): void {
+  if (event.type === 'request-received') refuseStream(event.request.id, waiting);
+  if (event.type === 'stream-message' || event.type === 'stream-closed') {
+    refuseStream(event.request, waiting);
+  }
+  if (event.type === 'call-received') {
+    waiting.calls.settle(event.call.call, { type: 'refused', refusal: UNKNOWN });
+  }
+  if (event.type === 'operation-asked') {
+    waiting.calls.settle(event.call, { type: 'refused', refusal: UNKNOWN });
+  }
+  if (event.type === 'operator-asked') {
+    waiting.operators.settle(event.call, { status: 500, body: FAILED });
+  }
+}
+
+function refuseStream(request: string, waiting: Waiting): void {
+  const stream = waiting.streams.get(request);
+  waiting.streams.delete(request);
+  stream?.refuse(FAILED);
+}
