Let VMs find each other, share word of servers and take configuration

Cause: the daemon needs the fleet side to be wired to; a node needs peers, configuration, addresses and a drain before anything else. Change: a pure reducer with SWIM-like probes, suspicion and refutation, digests of backend servers over two hops, use of workspaces summed by one VM for each, suspects, revisions from peers or the table, acceptance by acknowledgement, self-doubt after a pause or in isolation, addresses and drain. A small network under virtual time drives it in tests and measurements. Ruled out: a full mesh of heartbeats, which grows with the fleet; a central counter of use, which would be a service of its own.

--- a/src/configuration/revisionSchema.ts
+++ b/src/configuration/revisionSchema.ts
@@ -102,11 +102,14 @@
 
 const remove = z.object({ type: z.literal('remove'), kind, key: z.string() });
 
+/** The shape of one change. */
+export const changeSchema = z.union([put, remove]);
+
 /** The shape of a revision. */
 export const revisionSchema = z.object({
   number: z.number().int().min(1),
   changeId: z.string().min(1),
-  changes: z.array(z.union([put, remove])).max(MAX_CHANGES_PER_REVISION),
+  changes: z.array(changeSchema).max(MAX_CHANGES_PER_REVISION),
   operator: z.string(),
   reason: z.string(),
 });
--- /dev/null
+++ b/src/vms/gossip.ts
@@ -0,0 +1,77 @@
+/**
+ * The body of a datagram between VMs, as msgpack carries it. Tuples stand in for objects to save
+ * bytes. A newer version may add fields, and items at the end of tuples: both are ignored here. What
+ * it may not do is change the meaning of what an older version reads.
+ */
+
+import { z } from 'zod';
+import { MAX_DIGESTS_PER_DATAGRAM, MAX_ENTRIES_PER_DATAGRAM } from './fleetConstants';
+
+/** Version of the body that this program writes. */
+export const GOSSIP_VERSION = 1;
+
+/**
+ * `ping` asks for an `ack`; `ask` asks to ping another and `told` passes its answer on; `news` and
+ * `digest` want no answer; `use` reports use of workspaces and `sums` answers it.
+ */
+export type GossipKind = 'ping' | 'ack' | 'ask' | 'told' | 'news' | 'digest' | 'use' | 'sums';
+
+const count = z.number().int().min(0);
+const age = z.number().min(0);
+const id = z.string().min(1).max(256);
+const port = z.number().int().min(0).max(65535);
+
+/** id, incarnation, version, status, flags, applied revision. */
+export const entrySchema = z
+  .tuple([id, count, count, count.max(3), count, count])
+  .rest(z.unknown());
+
+/** id, incarnation, failure domain, region, then host and port of HTTP, peer and gossip. */
+export const recordSchema = z
+  .tuple([id, count, id, id, z.string(), port, z.string(), port, z.string(), port])
+  .rest(z.unknown());
+
+/** server, state (1 leaving), age in ms, incarnation hash, whether passed on, then its load if any. */
+const digest = z.tuple([id, count, age, count, count]).rest(z.unknown());
+
+/** fingerprint, crashes, designated server or null, age in ms. */
+const suspect = z.tuple([id, count, id.nullable(), age]).rest(z.unknown());
+
+/** workspace, tokens a second, requests a second, running, age in ms. */
+const use = z.tuple([id, z.number(), z.number(), z.number(), age]).rest(z.unknown());
+
+/** A datagram's body: `v` version, `k` kind, `n` nonce, `e` sender, `h` head revision and so on. */
+export const gossipSchema = z.object({
+  v: count.min(1),
+  k: z.string(),
+  n: count,
+  /** The sender's own entry. */
+  e: entrySchema,
+  /** Highest revision that the sender knows of. */
+  h: count,
+  /** The VM to probe, of `ask` and `told`. */
+  t: id.optional(),
+  /** Members. */
+  m: z
+    .array(entrySchema)
+    .max(4 * MAX_ENTRIES_PER_DATAGRAM)
+    .optional(),
+  /** Full records of VMs. */
+  f: z.array(recordSchema).max(MAX_ENTRIES_PER_DATAGRAM).optional(),
+  /** Digests of backend servers. */
+  s: z
+    .array(digest)
+    .max(4 * MAX_DIGESTS_PER_DATAGRAM)
+    .optional(),
+  /** Suspect contents. */
+  x: z.array(suspect).max(64).optional(),
+  /** Use of workspaces. */
+  u: z.array(use).max(256).optional(),
+});
+
+export type Gossip = z.infer<typeof gossipSchema>;
+export type EntryTuple = z.infer<typeof entrySchema>;
+export type RecordTuple = z.infer<typeof recordSchema>;
+export type DigestTuple = z.infer<typeof digest>;
+export type SuspectTuple = z.infer<typeof suspect>;
+export type UseTuple = z.infer<typeof use>;
--- /dev/null
+++ b/src/vms/handleDatagram.ts
@@ -0,0 +1,145 @@
+/** Datagrams between VMs. */
+
+import { chain } from './chain';
+import { askRecords } from './askRecords';
+import { decodeEntry } from './decodeEntry';
+import { decodeRecord } from './decodeRecord';
+import { fetchConfiguration } from './fetchConfiguration';
+import type { Fleet, FleetDecision } from './fleet';
+import { MAX_RELAYED_PROBES } from './fleetConstants';
+import type { FleetEvent } from './fleetMessage';
+import { gossipSchema } from './gossip';
+import type { Gossip, GossipKind } from './gossip';
+import { hearSender } from './hearSender';
+import { learnEntry } from './learnEntry';
+import { learnHead } from './learnHead';
+import { learnRecord } from './learnRecord';
+import { sendGossip } from './sendGossip';
+import { takeSuspectTuples } from './shareSuspects';
+import { learnSums, takeUses } from './shareUse';
+import { takeDigests } from './takeDigests';
+import { takeNonce } from './takeNonce';
+import { withMembership } from './withMembership';
+
+type DatagramEvent = Extract<FleetEvent, { readonly type: 'datagram-received' }>;
+
+type KindHandler = (fleet: Fleet, gossip: Gossip, event: DatagramEvent) => FleetDecision;
+
+const handlers: Readonly<Record<GossipKind, KindHandler>> = {
+  ping: (fleet, gossip, event) =>
+    sendGossip(
+      fleet,
+      { kind: 'ack', to: event.from, ...receiver(fleet, gossip), nonce: gossip.n },
+      event.atMs,
+    ),
+  ack: (fleet, gossip, event) => handleAck(fleet, gossip, event),
+  ask: (fleet, gossip, event) => handleAsk(fleet, gossip, event),
+  told: (fleet, gossip) => handleTold(fleet, gossip),
+  news: (fleet) => ({ state: fleet, effects: [] }),
+  digest: (fleet) => ({ state: fleet, effects: [] }),
+  use: (fleet, gossip, event) =>
+    takeUses(fleet, gossip.u ?? [], gossip.e[0], { to: event.from, nonce: gossip.n }, event.atMs),
+  sums: (fleet, gossip) => learnSums(fleet, gossip.u ?? []),
+};
+
+/** Takes in one datagram; what is malformed, or of a kind that this version lacks, is counted. */
+export function handleDatagram(fleet: Fleet, event: DatagramEvent): FleetDecision {
+  const parsed = gossipSchema.safeParse(event.body);
+  if (!parsed.success) return drop(fleet, 'malformed');
+  const gossip = parsed.data;
+  if (gossip.e[0] === fleet.vm.id && gossip.e[1] <= fleet.vm.incarnation) return drop(fleet, 'own');
+  const handler = (handlers as Readonly<Record<string, KindHandler | undefined>>)[gossip.k];
+  return chain(
+    fleet,
+    (state) => takeNews(state, gossip, event),
+    (state) => handler?.(state, gossip, event) ?? drop(state, 'unknown-kind'),
+  );
+}
+
+function drop(fleet: Fleet, reason: string): FleetDecision {
+  return {
+    state: fleet,
+    effects: [{ type: 'count', counter: 'datagrams_dropped', by: 1, labels: { reason } }],
+  };
+}
+
+function receiver(fleet: Fleet, gossip: Gossip): { readonly toId?: string } {
+  const id = gossip.e[0];
+  return fleet.membership.members.has(id) ? { toId: id } : {};
+}
+
+/** What every kind of datagram may carry. */
+function takeNews(fleet: Fleet, gossip: Gossip, event: DatagramEvent): FleetDecision {
+  const { atMs, seed } = event;
+  const entries = [gossip.e, ...(gossip.m ?? [])].map(decodeEntry);
+  return chain(
+    fleet,
+    ...(gossip.f ?? []).map(
+      (tuple) => (state: Fleet) => learnRecord(state, decodeRecord(tuple), atMs),
+    ),
+    (state) => ({ state: hearSender(state, gossip, atMs), effects: [] }),
+    ...entries.map((entry) => (state: Fleet) => learnEntry(state, entry, atMs)),
+    (state) => askForUnknown(state, gossip, atMs),
+    (state) => fetchConfiguration(learnHead(state, gossip.h), atMs, seed),
+    (state) => takeDigests(state, gossip.s ?? [], atMs, seed),
+    (state) => takeSuspectTuples(state, gossip.x ?? [], atMs),
+  );
+}
+
+/** Entries of VMs, or of lives of VMs, whose full record is not here. */
+function askForUnknown(fleet: Fleet, gossip: Gossip, atMs: number): FleetDecision {
+  const { members } = fleet.membership;
+  const sender = members.get(gossip.e[0]);
+  if (sender === undefined) return { state: fleet, effects: [] };
+  const isUnknown = ([id, incarnation]: readonly [string, number, ...unknown[]]): boolean =>
+    id !== fleet.vm.id && (members.get(id)?.vm.incarnation ?? -1) < incarnation;
+  const hasUnknown = (gossip.m ?? []).some(isUnknown);
+  const isAlone = fleet.membership.askedRecordsAtMs === -Infinity;
+  if (!hasUnknown && !isAlone) return { state: fleet, effects: [] };
+  return askRecords(fleet, sender, atMs);
+}
+
+/** An answer proves that the target runs, and, to a probe sent since this VM woke, that word is fresh. */
+function handleAck(fleet: Fleet, gossip: Gossip, event: DatagramEvent): FleetDecision {
+  const { probes, relays } = fleet.membership;
+  const relay = relays.get(gossip.n);
+  const isFresh = gossip.n >= fleet.standing.firstNonce;
+  const standing = isFresh
+    ? { ...fleet.standing, isAwake: true, heardPeerAtMs: event.atMs }
+    : fleet.standing;
+  const state = withMembership(
+    { ...fleet, standing },
+    { probes: probes.remove(gossip.n), relays: relays.remove(gossip.n) },
+  );
+  if (relay === undefined) return { state, effects: [] };
+  const answer = { kind: 'told', to: relay.askedBy, nonce: relay.askedNonce } as const;
+  return sendGossip(state, { ...answer, toId: gossip.e[0], target: relay.target }, event.atMs);
+}
+
+function handleAsk(fleet: Fleet, gossip: Gossip, event: DatagramEvent): FleetDecision {
+  const { relays, members } = fleet.membership;
+  const target = members.get(gossip.t ?? '');
+  if (target === undefined || relays.size >= MAX_RELAYED_PROBES) {
+    return { state: fleet, effects: [] };
+  }
+  const taken = takeNonce(fleet);
+  const relay = {
+    askedBy: event.from,
+    askedNonce: gossip.n,
+    target: target.id,
+    startedAtMs: event.atMs,
+  };
+  const state = withMembership(taken.fleet, { relays: relays.set(taken.nonce, relay) });
+  const to = target.vm.addresses.gossip;
+  const ping = { kind: 'ping', to, toId: target.id, nonce: taken.nonce } as const;
+  return sendGossip(state, ping, event.atMs);
+}
+
+function handleTold(fleet: Fleet, gossip: Gossip): FleetDecision {
+  const { probes } = fleet.membership;
+  const isMatch = probes.get(gossip.n)?.target === gossip.t;
+  return {
+    state: isMatch ? withMembership(fleet, { probes: probes.remove(gossip.n) }) : fleet,
+    effects: [],
+  };
+}
--- /dev/null
+++ b/src/vms/handleMessage.ts
@@ -0,0 +1,125 @@
+/** Messages between VMs on the reliable channel: full records, revisions and snapshots. */
+
+import { z } from 'zod';
+import { answerRevisions } from '../configuration/answerRevisions';
+import {
+  revisionsSchema,
+  revisionsWantedSchema,
+  snapshotSchema,
+  snapshotWantedSchema,
+} from '../configuration/configurationMessage';
+import type { Revisions, Snapshot } from '../configuration/configurationMessage';
+import { finishSnapshot } from '../configuration/finishSnapshot';
+import { joinSnapshot } from '../configuration/joinSnapshot';
+import { sliceSnapshot } from '../configuration/sliceSnapshot';
+import { chain } from './chain';
+import { fetchConfiguration } from './fetchConfiguration';
+import type { Fleet, FleetDecision } from './fleet';
+import type { FleetEvent } from './fleetMessage';
+import { learnHead } from './learnHead';
+import type { Member } from './member';
+import { putInForce } from './putInForce';
+import { sendRecords } from './sendRecords';
+import { recordsSchema, takeRecords } from './takeRecords';
+import { takeRevisions } from './takeRevisions';
+import { toPeer } from './toPeer';
+import { withConfiguration } from './withConfiguration';
+
+type MessageEvent = Extract<FleetEvent, { readonly type: 'message-received' }>;
+
+const messageSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('records-wanted') }),
+  recordsSchema,
+  revisionsWantedSchema,
+  revisionsSchema,
+  snapshotWantedSchema,
+  snapshotSchema,
+]);
+
+type Message = z.infer<typeof messageSchema>;
+
+type MessageHandlers = {
+  readonly [Type in Message['type']]: (
+    fleet: Fleet,
+    message: Extract<Message, { readonly type: Type }>,
+    from: Member,
+    event: MessageEvent,
+  ) => FleetDecision;
+};
+
+const handlers: MessageHandlers = {
+  'records-wanted': (fleet, _message, from) => sendRecords(fleet, from),
+  records: (fleet, message, _from, event) => takeRecords(fleet, message, event.atMs),
+  'revisions-wanted': (fleet, { after }, from) =>
+    reply(fleet, from, answerRevisions(fleet.configuration, after)),
+  'snapshot-wanted': (fleet, { after }, from) =>
+    reply(fleet, from, sliceSnapshot(fleet.configuration.applied, after)),
+  revisions: (fleet, message, _from, event) => takeFromPeer(fleet, message, event),
+  snapshot: (fleet, message, from, event) => takeChunk(fleet, message, from, event),
+};
+
+/** Answers or takes in one message; what is malformed or from an unknown VM is dropped and counted. */
+export function handleMessage(fleet: Fleet, event: MessageEvent): FleetDecision {
+  const from = fleet.membership.members.get(event.from);
+  if (from === undefined) return drop(fleet, 'unknown-sender');
+  const message = messageSchema.safeParse(event.body);
+  if (!message.success) return drop(fleet, 'malformed');
+  const handler = handlers[message.data.type] as (
+    fleet: Fleet,
+    message: Message,
+    from: Member,
+    event: MessageEvent,
+  ) => FleetDecision;
+  return handler(fleet, message.data, from, event);
+}
+
+function drop(fleet: Fleet, reason: string): FleetDecision {
+  return {
+    state: fleet,
+    effects: [{ type: 'count', counter: 'messages_dropped', by: 1, labels: { reason } }],
+  };
+}
+
+function reply(fleet: Fleet, to: Member, body: Revisions | Snapshot): FleetDecision {
+  return { state: fleet, effects: [{ type: 'send-message', to: toPeer(to), body }] };
+}
+
+function takeFromPeer(fleet: Fleet, message: Revisions, event: MessageEvent): FleetDecision {
+  const { atMs, seed } = event;
+  if (message.revisions.length === 0) return { state: fleet, effects: [] };
+  return chain(
+    withConfiguration(learnHead(fleet, message.head), { fetch: { type: 'none' } }),
+    (state) => takeRevisions(state, message.revisions, atMs, seed),
+    (state) => fetchConfiguration(state, atMs, seed),
+  );
+}
+
+function takeChunk(
+  fleet: Fleet,
+  chunk: Snapshot,
+  from: Member,
+  event: MessageEvent,
+): FleetDecision {
+  const { atMs, seed } = event;
+  const joined = joinSnapshot(fleet.configuration, chunk);
+  if (joined.type === 'stale') return { state: fleet, effects: [] };
+  if (joined.type === 'malformed') return drop(fleet, 'malformed');
+  const state = { ...fleet, configuration: joined.state };
+  if (joined.next === null) {
+    return chain(
+      withConfiguration(state, { fetch: { type: 'none' } }),
+      (whole) => putInForce(whole, finishSnapshot(whole.configuration, []), atMs, seed),
+      (whole) => fetchConfiguration(whole, atMs, seed),
+    );
+  }
+  return {
+    state: withConfiguration(state, { fetch: { type: 'snapshot', startedAtMs: atMs } }),
+    effects: [
+      {
+        type: 'send-message',
+        to: toPeer(from),
+        body: { type: 'snapshot-wanted', after: joined.next },
+      },
+    ],
+  };
+}
--- /dev/null
+++ b/src/vms/handleServerWord.ts
@@ -0,0 +1,117 @@
+/** What this VM itself sees of backend servers: answers to its probes, load, and its own requests. */
+
+import { hash32 } from '../hashing/hash32';
+import { chain } from './chain';
+import type { Fleet, FleetDecision } from './fleet';
+import { EJECTION_MS, FAILURES_TO_EJECT, MAX_EJECTION_MS } from './fleetConstants';
+import type { FleetEvent } from './fleetMessage';
+import { learnLoad } from './learnLoad';
+import { learnWord } from './learnWord';
+import type { ServerConduct, ServerRecord, ServerWord } from './serverRecord';
+import { serverRecordOf } from './serverRecordOf';
+import { shareLeaving } from './shareLeaving';
+import { withServer } from './withServer';
+
+type Event<Type extends FleetEvent['type']> = Extract<FleetEvent, { readonly type: Type }>;
+
+/** How much of a failure a slow answer counts for. */
+const SLOW_FAILURE = 0.5;
+
+/** An answer is word as of now; no answer is no word, and the last one grows old. */
+export function handleProbeAnswered(fleet: Fleet, event: Event<'probe-answered'>): FleetDecision {
+  if (event.result === 'unreachable') {
+    return {
+      state: fleet,
+      effects: [{ type: 'count', counter: 'server_probes_failed', by: 1 }],
+    };
+  }
+  const incarnation = hash32(event.incarnation);
+  return takeOwnWord(fleet, event, { state: event.result, incarnation });
+}
+
+/** A report that says the engine leaves is word of it too. */
+export function handleLoadObserved(fleet: Fleet, event: Event<'load-observed'>): FleetDecision {
+  const { report, atMs, seed } = event;
+  return chain(
+    fleet,
+    (state) => learnLoad(state, report, atMs, 0),
+    (state) =>
+      report.leaving
+        ? takeLeaving(state, { server: report.engine, atMs, seed })
+        : { state, effects: [] },
+  );
+}
+
+/** Evidence of this VM's own requests. */
+export function handleServerObserved(fleet: Fleet, event: Event<'server-observed'>): FleetDecision {
+  return observations[event.observation](fleet, event);
+}
+
+type Observed = Event<'server-observed'>;
+
+const observations: Readonly<
+  Record<Observed['observation'], (fleet: Fleet, event: Observed) => FleetDecision>
+> = {
+  served: (fleet, event) => conduct(fleet, event, () => ({ failuresInRow: 0 })),
+  failed: (fleet, event) => conduct(fleet, event, (record) => fail(record, 1, event.atMs)),
+  slow: (fleet, event) => conduct(fleet, event, (record) => fail(record, SLOW_FAILURE, event.atMs)),
+  crashed: (fleet, event) => ({
+    // Only word from after the crash counts, so no new work goes there before it answers again.
+    state: withServer(fleet, event.server, {
+      word: undefined,
+      notBeforeMs: event.atMs,
+      probedAtMs: -Infinity,
+      conduct: { ...serverRecordOf(fleet, event.server).conduct, returnedAtMs: event.atMs },
+    }),
+    effects: [],
+  }),
+  leaving: (fleet, event) => takeLeaving(fleet, event),
+};
+
+function takeLeaving(
+  fleet: Fleet,
+  event: { readonly server: string; readonly atMs: number; readonly seed: number },
+): FleetDecision {
+  const incarnation = serverRecordOf(fleet, event.server).word?.incarnation ?? 0;
+  return takeOwnWord(fleet, event, { state: 'leaving', incarnation });
+}
+
+function takeOwnWord(
+  fleet: Fleet,
+  event: { readonly server: string; readonly atMs: number; readonly seed: number },
+  said: Pick<ServerWord, 'state' | 'incarnation'>,
+): FleetDecision {
+  const { server, atMs, seed } = event;
+  return chain(
+    fleet,
+    (state) => learnWord(state, server, { ...said, observedAtMs: atMs, via: 'own' }),
+    (state) => shareLeaving(fleet, state, server, atMs, seed),
+  );
+}
+
+function conduct(
+  fleet: Fleet,
+  event: Observed,
+  change: (record: ServerRecord) => Partial<ServerConduct>,
+): FleetDecision {
+  const record = serverRecordOf(fleet, event.server);
+  const changes = change(record);
+  if (changes.failuresInRow === record.conduct.failuresInRow) return { state: fleet, effects: [] };
+  const next = { ...record.conduct, ...changes };
+  return { state: withServer(fleet, event.server, { conduct: next }), effects: [] };
+}
+
+function fail(record: ServerRecord, by: number, atMs: number): Partial<ServerConduct> {
+  const { failuresInRow, ejections, ejectedUntilMs } = record.conduct;
+  const failures = failuresInRow + by;
+  if (failures < FAILURES_TO_EJECT || atMs < ejectedUntilMs) return { failuresInRow: failures };
+  const length = Math.min(MAX_EJECTION_MS, EJECTION_MS * 2 ** ejections);
+  return {
+    failuresInRow: 0,
+    ejections: Math.min(ejections + 1, MAX_EJECTION_DOUBLINGS),
+    ejectedUntilMs: atMs + length,
+  };
+}
+
+/** Ejections after which the time grows no further. */
+const MAX_EJECTION_DOUBLINGS = Math.ceil(Math.log2(MAX_EJECTION_MS / EJECTION_MS));
--- /dev/null
+++ b/src/vms/handleStarted.ts
@@ -0,0 +1,25 @@
+/** The start of a VM. */
+
+import type { Fleet, FleetDecision } from './fleet';
+import type { FleetEvent } from './fleetMessage';
+import { handleTick } from './handleTick';
+import { withMembership } from './withMembership';
+
+type Started = Extract<FleetEvent, { readonly type: 'started' }>;
+
+/** Takes the VM's own record and does at once what is due: calls to seeds, the list, the head row. */
+export function handleStarted(fleet: Fleet, event: Started): FleetDecision {
+  const { vm, seeds, atMs, seed } = event;
+  const standing = { ...fleet.standing, wokeAtMs: atMs };
+  const started = {
+    ...fleet,
+    vm,
+    seeds,
+    isStarted: true,
+    startedAtMs: atMs,
+    clockMs: atMs,
+    standing,
+  };
+  const state = withMembership(started, { isChanged: true, nextRoundAtMs: atMs });
+  return handleTick(state, atMs, seed);
+}
--- /dev/null
+++ b/src/vms/hearSender.ts
@@ -0,0 +1,22 @@
+/** Notes that a datagram came straight from a member. */
+
+import type { Fleet } from './fleet';
+import type { Gossip } from './gossip';
+import { withMembership } from './withMembership';
+
+/**
+ * @param fleet the state
+ * @param gossip the datagram
+ * @param atMs now
+ */
+export function hearSender(fleet: Fleet, gossip: Gossip, atMs: number): Fleet {
+  const { members } = fleet.membership;
+  const [id, incarnation] = gossip.e;
+  const member = members.get(id);
+  if (member === undefined || incarnation < member.incarnation) return fleet;
+  const heard = withMembership(fleet, {
+    members: members.set(id, { ...member, heardAtMs: atMs }),
+  });
+  if (!fleet.standing.isAwake) return heard;
+  return { ...heard, standing: { ...fleet.standing, heardPeerAtMs: atMs } };
+}
--- /dev/null
+++ b/src/vms/learnEntry.ts
@@ -0,0 +1,69 @@
+/** Takes in what another VM says of a member, this one included. */
+
+import type { Fleet, FleetDecision } from './fleet';
+import { DIRECT_WORD_MS } from './fleetConstants';
+import type { Member, MemberEntry } from './member';
+import { outranks } from './outranks';
+import { putMember } from './putMember';
+import { spread } from './spread';
+import { withMembership } from './withMembership';
+
+/**
+ * Merges one entry. Word that a VM is dead, while it was heard directly a moment ago, counts as a
+ * suspicion only: the VM then gets to refute it. An entry of an unknown VM changes nothing here; its
+ * full record has to come first.
+ */
+export function learnEntry(fleet: Fleet, entry: MemberEntry, atMs: number): FleetDecision {
+  if (entry.id === fleet.vm.id) return learnOfSelf(fleet, entry);
+  const member = fleet.membership.members.get(entry.id);
+  if (member === undefined) return { state: fleet, effects: [] };
+  const heeded = heed(member, entry, atMs);
+  if (outranks(heeded, member)) return putMember(fleet, member, heeded, atMs);
+  if (entry.incarnation === member.incarnation && entry.applied > member.applied) {
+    return learnApplied(fleet, member, entry);
+  }
+  return { state: fleet, effects: [] };
+}
+
+function heed(member: Member, entry: MemberEntry, atMs: number): MemberEntry {
+  const isDoubted = entry.status === 'dead' && entry.version === member.version;
+  const isHeard = atMs - member.heardAtMs < DIRECT_WORD_MS;
+  return isDoubted && isHeard ? { ...entry, status: 'suspect' } : entry;
+}
+
+function learnApplied(fleet: Fleet, member: Member, entry: MemberEntry): FleetDecision {
+  const { members, rumors, liveVms } = fleet.membership;
+  const state = withMembership(fleet, {
+    members: members.set(member.id, { ...member, applied: entry.applied }),
+    rumors: spread(rumors, member.id, liveVms),
+  });
+  return { state, effects: [] };
+}
+
+function learnOfSelf(fleet: Fleet, entry: MemberEntry): FleetDecision {
+  if (entry.incarnation > fleet.vm.incarnation) return supersede(fleet);
+  const isAccused = entry.incarnation === fleet.vm.incarnation && entry.status !== 'alive';
+  const isOver = fleet.drain?.isDone === true;
+  if (!isAccused || isOver || entry.version < fleet.membership.version) {
+    return { state: fleet, effects: [] };
+  }
+  return {
+    state: withMembership(fleet, { version: entry.version + 1 }),
+    effects: [{ type: 'count', counter: 'suspicions_refuted', by: 1 }],
+  };
+}
+
+function supersede(fleet: Fleet): FleetDecision {
+  if (fleet.standing.isSuperseded) return { state: fleet, effects: [] };
+  return {
+    state: { ...fleet, standing: { ...fleet.standing, isSuperseded: true } },
+    effects: [
+      {
+        type: 'log',
+        level: 'error',
+        message: 'Another VM runs under this id with a higher incarnation',
+        fields: { vm: fleet.vm.id },
+      },
+    ],
+  };
+}
--- /dev/null
+++ b/src/vms/learnLoad.ts
@@ -0,0 +1,28 @@
+/** Takes in a load report, by an own poll or from a watcher. */
+
+import type { LoadReport } from '../contracts/engineContract';
+import type { Fleet, FleetDecision } from './fleet';
+import { serverRecordOf } from './serverRecordOf';
+import { withServer } from './withServer';
+
+/**
+ * Keeps the newest report and passes it to the router.
+ *
+ * @param fleet the state
+ * @param report the report
+ * @param atMs now
+ * @param ageMs how old it is
+ */
+export function learnLoad(
+  fleet: Fleet,
+  report: LoadReport,
+  atMs: number,
+  ageMs: number,
+): FleetDecision {
+  const loadAtMs = atMs - ageMs;
+  if (loadAtMs <= serverRecordOf(fleet, report.engine).loadAtMs)
+    return { state: fleet, effects: [] };
+  const state = withServer(fleet, report.engine, { load: report, loadAtMs });
+  if (state === fleet) return { state, effects: [] };
+  return { state, effects: [{ type: 'load-learned', report, ageMs }] };
+}
--- /dev/null
+++ b/src/vms/learnRecord.ts
@@ -0,0 +1,59 @@
+/** Takes in the full record of a VM: one that was unknown, or a new life of a known one. */
+
+import type { Fleet, FleetDecision } from './fleet';
+import { MAX_MEMBERS } from './fleetConstants';
+import type { Member } from './member';
+import { spread } from './spread';
+import type { Vm } from './vm';
+import { withMembership } from './withMembership';
+
+/**
+ * Adds a VM, or replaces the record of one that started anew. Records of lives that are over, of this
+ * VM itself, and beyond the limit are left out.
+ */
+export function learnRecord(fleet: Fleet, vm: Vm, atMs: number): FleetDecision {
+  const { members, rumors, introductions, liveVms } = fleet.membership;
+  const known = members.get(vm.id);
+  const isOld = known !== undefined && vm.incarnation <= known.vm.incarnation;
+  if (vm.id === fleet.vm.id || isOld) return { state: fleet, effects: [] };
+  if (known === undefined && members.size >= MAX_MEMBERS) return refuse(fleet);
+  const isNewLife = known === undefined || vm.incarnation > known.incarnation;
+  const member: Member = isNewLife ? startLife(vm, known, atMs) : { ...known, vm };
+  const state = withMembership(fleet, {
+    members: members.set(vm.id, member),
+    rumors: spread(rumors, vm.id, liveVms),
+    introductions: spread(introductions, vm.id, liveVms),
+    isChanged: true,
+  });
+  return {
+    state,
+    effects: [
+      {
+        type: 'log',
+        level: 'info',
+        message: 'VM joined',
+        fields: { vm: vm.id, incarnation: vm.incarnation },
+      },
+    ],
+  };
+}
+
+function startLife(vm: Vm, known: Member | undefined, atMs: number): Member {
+  return {
+    id: vm.id,
+    incarnation: vm.incarnation,
+    version: 0,
+    status: 'alive',
+    isDraining: false,
+    isAccepting: false,
+    applied: 0,
+    vm,
+    heardAtMs: -Infinity,
+    changedAtMs: atMs,
+    listing: known?.listing ?? 'never',
+  };
+}
+
+function refuse(fleet: Fleet): FleetDecision {
+  return { state: fleet, effects: [{ type: 'count', counter: 'members_over_limit', by: 1 }] };
+}
--- /dev/null
+++ b/src/vms/putInForce.ts
@@ -0,0 +1,41 @@
+/** Brings a later revision into force on this VM. */
+
+import type { ConfigurationState } from '../configuration/configurationState';
+import { chain } from './chain';
+import type { Fleet, FleetDecision } from './fleet';
+import { sendNews } from './sendNews';
+
+/**
+ * Replaces the configuration's state; where a later revision came into force by it, the other sides of
+ * this node and some VMs hear at once.
+ *
+ * @throws RangeError where the revision in force would go back
+ */
+export function putInForce(
+  fleet: Fleet,
+  next: ConfigurationState,
+  atMs: number,
+  seed: number,
+): FleetDecision {
+  const before = fleet.configuration.applied.revision;
+  const configuration = next.applied;
+  if (configuration.revision < before) {
+    throw new RangeError(`Revision ${before} would revert to ${configuration.revision}`);
+  }
+  if (configuration.revision === before) {
+    return { state: { ...fleet, configuration: next }, effects: [] };
+  }
+  const state = {
+    ...fleet,
+    configuration: { ...next, fetch: { type: 'none' } as const },
+    servers: { ...fleet.servers, isStale: true },
+  };
+  return chain(
+    state,
+    (applied) => ({
+      state: applied,
+      effects: [{ type: 'configuration-applied', configuration }],
+    }),
+    (applied) => sendNews(applied, atMs, seed),
+  );
+}
--- /dev/null
+++ b/src/vms/reduceFleet.test.ts
@@ -0,0 +1,70 @@
+import { VirtualFleet } from '../../measurements/virtualFleet';
+import type { Change } from '../configuration/configuration';
+import type { FleetEffect } from './fleetMessage';
+import { isLive } from './isLive';
+
+const SERVER: Change = {
+  type: 'put',
+  kind: 'backendServer',
+  key: 'engine-1',
+  value: {
+    id: 'engine-1',
+    kind: 'engine',
+    failureDomain: 'nbo-a',
+    address: { host: '10.1.0.1', port: 9000 },
+    checksFencing: true,
+    leaving: false,
+  },
+};
+
+function startFleet(nodes: number, seed = 1): VirtualFleet {
+  const fleet = new VirtualFleet({ nodes, seed });
+  fleet.startAll();
+  fleet.run(3000);
+  return fleet;
+}
+
+describe('reduceFleet', () => {
+  it('finds all VMs from the seeds and takes new work', () => {
+    const { vms } = startFleet(8);
+    for (const { fleet } of vms) {
+      expect(fleet.membership.members.count(isLive)).toBe(7);
+      expect(fleet.standing).toMatchObject({ isAccepting: true, reason: '' });
+    }
+  });
+
+  it('puts a committed revision in force and accepts it everywhere', () => {
+    const network = startFleet(8);
+    const accepted = new Map<string, number>();
+    network.onEffect = ({ vm }, effect) => {
+      if (effect.type === 'configuration-accepted') accepted.set(vm.id, effect.revision);
+    };
+    network.servers.set('engine-1', { isUp: true, state: 'live', incarnation: 'a' });
+    network.commit([SERVER], network.vms[3]);
+    network.run(3000);
+    expect([...accepted.values()]).toEqual(Array.from({ length: 8 }, () => 1));
+    for (const { fleet } of network.vms) {
+      expect(fleet.servers.told).toEqual([{ server: 'engine-1', isUsable: true, weight: 1 }]);
+    }
+  });
+
+  it('answers with addresses, and drains once they have lapsed and work is done', () => {
+    const network = startFleet(4);
+    const effects: FleetEffect[] = [];
+    network.onEffect = (_vm, effect) => effects.push(effect);
+    const [first, second] = network.vms;
+    if (first === undefined || second === undefined) throw new Error('No VMs');
+    network.deliver(first, { type: 'drain-started' });
+    network.run(500);
+    network.deliver(second, { type: 'addresses-asked', call: 'a1', caller: 'till-7' });
+    const answer = effects.find((effect) => effect.type === 'answer-addresses');
+    expect(answer?.answer.addresses).toHaveLength(3);
+    expect(answer?.answer.addresses).not.toContainEqual(first.vm.addresses.http);
+    expect(first.fleet.standing.isAccepting).toBe(true);
+    network.run(10_000);
+    expect(first.fleet.standing).toMatchObject({ isAccepting: false, reason: 'draining' });
+    expect(effects.some((effect) => effect.type === 'drained')).toBe(false);
+    network.deliver(first, { type: 'work-counted', running: 0 });
+    expect(effects.some((effect) => effect.type === 'drained')).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/vms/splitDigests.ts
@@ -0,0 +1,23 @@
+/** Cuts digests into parts that fit a datagram each. */
+
+import { DIGESTS_BUDGET_BYTES, DIGEST_BYTES, MAX_DIGESTS_PER_DATAGRAM } from './fleetConstants';
+import type { DigestTuple } from './gossip';
+
+/** @returns the digests in their order, in parts */
+export function splitDigests(digests: readonly DigestTuple[]): readonly (readonly DigestTuple[])[] {
+  const parts: DigestTuple[][] = [];
+  let part: DigestTuple[] = [];
+  let bytes = 0;
+  for (const digest of digests) {
+    const size = DIGEST_BYTES + digest[0].length;
+    if (bytes + size > DIGESTS_BUDGET_BYTES || part.length >= MAX_DIGESTS_PER_DATAGRAM) {
+      parts.push(part);
+      part = [];
+      bytes = 0;
+    }
+    part.push(digest);
+    bytes += size;
+  }
+  if (part.length > 0) parts.push(part);
+  return parts;
+}
--- /dev/null
+++ b/src/vms/startRound.ts
@@ -0,0 +1,105 @@
+/**
+ * One round of probes: a fixed number of VMs of the own region in a random order that visits each
+ * once a turn, now and then one of another region and one that is held for dead.
+ */
+
+import { createRandom } from '../random/createRandom';
+import { chain } from './chain';
+import type { Fleet, FleetDecision } from './fleet';
+import {
+  LONG_PROBE_PERIOD_MS,
+  PROBES_PER_ROUND,
+  ROUNDS_PER_DEAD_PROBE,
+  ROUNDS_PER_REMOTE_PROBE,
+  SHORT_PROBE_PERIOD_MS,
+  SMALL_FLEET_VMS,
+} from './fleetConstants';
+import { isLive } from './isLive';
+import type { Member } from './member';
+import { pickMembers } from './pickMembers';
+import { probeMember } from './probeMember';
+import { sendGossip } from './sendGossip';
+import { takeNonce } from './takeNonce';
+import type { Address, VmId } from './vm';
+import { withMembership } from './withMembership';
+
+/**
+ * Starts a round where one is due.
+ *
+ * @param fleet the state
+ * @param atMs now
+ * @param seed fresh randomness
+ */
+export function startRound(fleet: Fleet, atMs: number, seed: number): FleetDecision {
+  const { membership } = fleet;
+  if (atMs < membership.nextRoundAtMs) return { state: fleet, effects: [] };
+  const period =
+    membership.liveVms <= SMALL_FLEET_VMS ? SHORT_PROBE_PERIOD_MS : LONG_PROBE_PERIOD_MS;
+  const due = Math.max(membership.nextRoundAtMs, atMs - period) + period;
+  const started = withMembership(fleet, { nextRoundAtMs: due, round: membership.round + 1 });
+  const turned = takeTurn(started, seed);
+  const targets = [...turned.targets, ...pickOthers(turned.fleet, seed)];
+  return chain(
+    turned.fleet,
+    ...targets.map((member) => (state: Fleet) => probeMember(state, member, atMs)),
+    (state) => callSeeds(state, atMs),
+  );
+}
+
+interface Turned {
+  readonly fleet: Fleet;
+  readonly targets: readonly Member[];
+}
+
+function takeTurn(fleet: Fleet, seed: number): Turned {
+  const { members } = fleet.membership;
+  let turn = fleet.membership.turn;
+  if (turn.length < PROBES_PER_ROUND) turn = [...turn, ...shuffle(listLocal(fleet), seed)];
+  const targets: Member[] = [];
+  let index = 0;
+  for (; index < turn.length && targets.length < PROBES_PER_ROUND; index += 1) {
+    const member = members.get(turn[index] ?? '');
+    if (member !== undefined && isLive(member) && !targets.includes(member)) targets.push(member);
+  }
+  return { fleet: withMembership(fleet, { turn: turn.slice(index) }), targets };
+}
+
+function listLocal(fleet: Fleet): readonly VmId[] {
+  return fleet.membership.ring.filter((id) => id !== fleet.vm.id);
+}
+
+function shuffle(ids: readonly VmId[], seed: number): readonly VmId[] {
+  const random = createRandom(seed);
+  const shuffled = [...ids];
+  for (let last = shuffled.length - 1; last > 0; last -= 1) {
+    const other = random.integer(last + 1);
+    const held = shuffled[last] ?? '';
+    shuffled[last] = shuffled[other] ?? '';
+    shuffled[other] = held;
+  }
+  return shuffled;
+}
+
+function pickOthers(fleet: Fleet, seed: number): readonly Member[] {
+  const { membership, vm } = fleet;
+  const isRemoteRound = membership.round % ROUNDS_PER_REMOTE_PROBE === 0;
+  const isDeadRound = membership.round % ROUNDS_PER_DEAD_PROBE === 1;
+  if (!isRemoteRound && !isDeadRound) return [];
+  const members = [...membership.members.values()];
+  const isRemote = (member: Member): boolean => isLive(member) && member.vm.region !== vm.region;
+  const isDead = (member: Member): boolean => member.status === 'dead';
+  return pickMembers(members.filter(isRemoteRound ? isRemote : isDead), 1, seed);
+}
+
+/** Without a live peer the seeds are called each round. */
+function callSeeds(fleet: Fleet, atMs: number): FleetDecision {
+  if (fleet.membership.liveVms > 1) return { state: fleet, effects: [] };
+  return chain(fleet, ...fleet.seeds.map((seed) => (state: Fleet) => callSeed(state, seed, atMs)));
+}
+
+function callSeed(fleet: Fleet, to: Address, atMs: number): FleetDecision {
+  const own = fleet.vm.addresses.gossip;
+  if (to.host === own.host && to.port === own.port) return { state: fleet, effects: [] };
+  const taken = takeNonce(fleet);
+  return sendGossip(taken.fleet, { kind: 'ping', to, nonce: taken.nonce }, atMs);
+}
--- /dev/null
+++ b/src/vms/takeRecords.ts
@@ -0,0 +1,31 @@
+/** Takes in the full records that a peer sent. */
+
+import { z } from 'zod';
+import { chain } from './chain';
+import { decodeEntry } from './decodeEntry';
+import { decodeRecord } from './decodeRecord';
+import type { Fleet, FleetDecision } from './fleet';
+import { MAX_RECORDS_PER_MESSAGE } from './fleetConstants';
+import { entrySchema, recordSchema } from './gossip';
+import { learnEntry } from './learnEntry';
+import { learnRecord } from './learnRecord';
+
+/** Full records and entries of VMs. */
+export const recordsSchema = z.object({
+  type: z.literal('records'),
+  f: z.array(recordSchema).max(MAX_RECORDS_PER_MESSAGE),
+  m: z.array(entrySchema).max(MAX_RECORDS_PER_MESSAGE),
+});
+
+/** Takes records in. */
+export function takeRecords(
+  fleet: Fleet,
+  message: z.infer<typeof recordsSchema>,
+  atMs: number,
+): FleetDecision {
+  return chain(
+    fleet,
+    ...message.f.map((tuple) => (state: Fleet) => learnRecord(state, decodeRecord(tuple), atMs)),
+    ...message.m.map((tuple) => (state: Fleet) => learnEntry(state, decodeEntry(tuple), atMs)),
+  );
+}
--- /dev/null
+++ b/src/vms/takeRevisions.ts
@@ -0,0 +1,34 @@
+/** Puts fetched revisions in force and tells the other sides and VMs. */
+
+import { applyRevisions } from '../configuration/applyRevisions';
+import type { Revision } from '../configuration/configuration';
+import { decodeRevision } from '../configuration/decodeRevision';
+import { finishSnapshot } from '../configuration/finishSnapshot';
+import type { Fleet, FleetDecision } from './fleet';
+import type { FleetEffect } from './fleetMessage';
+import { putInForce } from './putInForce';
+
+/**
+ * Applies revisions given as the text of their rows.
+ *
+ * @param fleet the state
+ * @param texts rows of the table, or the same from a peer
+ * @param atMs now
+ * @param seed fresh randomness
+ */
+export function takeRevisions(
+  fleet: Fleet,
+  texts: readonly string[],
+  atMs: number,
+  seed: number,
+): FleetDecision {
+  const decoded = texts.map(decodeRevision);
+  const revisions: Revision[] = [];
+  for (const item of decoded) if (item.type === 'decoded') revisions.push(item.revision);
+  const malformed = decoded.length - revisions.length;
+  const counted: FleetEffect[] =
+    malformed === 0 ? [] : [{ type: 'count', counter: 'revisions_malformed', by: malformed }];
+  const finished = finishSnapshot(fleet.configuration, revisions);
+  const decision = putInForce(fleet, applyRevisions(finished, revisions), atMs, seed);
+  return { state: decision.state, effects: [...counted, ...decision.effects] };
+}
--- /dev/null
+++ b/src/vms/takeSuspects.ts
@@ -0,0 +1,39 @@
+/** Chooses suspect contents for one datagram. */
+
+import type { Fleet } from './fleet';
+import { MAX_SUSPECTS_PER_DATAGRAM } from './fleetConstants';
+import type { SuspectTuple } from './gossip';
+
+/** Bytes of a suspect content beside its texts. */
+const SUSPECT_BYTES = 20;
+
+export interface TakenSuspects {
+  readonly fleet: Fleet;
+  readonly tuples: readonly SuspectTuple[];
+}
+
+/**
+ * Takes suspects that still have to be passed on, and counts them down.
+ *
+ * @param fleet the state
+ * @param atMs now; ages travel, not clock readings
+ * @param budget bytes left in the datagram
+ */
+export function takeSuspects(fleet: Fleet, atMs: number, budget: number): TakenSuspects {
+  const { suspects } = fleet.sharing;
+  if (suspects.isEmpty()) return { fleet, tuples: [] };
+  const tuples: SuspectTuple[] = [];
+  let next = suspects;
+  let bytes = 0;
+  for (const known of suspects.values()) {
+    if (tuples.length >= MAX_SUSPECTS_PER_DATAGRAM) break;
+    if (known.sends === 0) continue;
+    const { fingerprint, crashes, designated } = known.suspect;
+    bytes += SUSPECT_BYTES + fingerprint.length + (designated?.length ?? 1);
+    if (bytes > budget) break;
+    tuples.push([fingerprint, crashes, designated ?? null, Math.round(atMs - known.crashedAtMs)]);
+    next = next.set(fingerprint, { ...known, sends: known.sends - 1 });
+  }
+  if (tuples.length === 0) return { fleet, tuples };
+  return { fleet: { ...fleet, sharing: { ...fleet.sharing, suspects: next } }, tuples };
+}
--- /dev/null
+++ b/src/vms/wake.ts
@@ -0,0 +1,41 @@
+/** Notices that the VM was paused, and throws away what it knew by the clock. */
+
+import type { Fleet, FleetDecision } from './fleet';
+import { PAUSE_MS } from './fleetConstants';
+import type { Member } from './member';
+import { withMembership } from './withMembership';
+
+/**
+ * Compares the time of an event with that of the one before: a tick comes ten times a second, so a
+ * long silence means that this VM stood still. What it would conclude from the silence of others is
+ * void then; it trusts nothing until an answer to something sent from now on has come.
+ *
+ * @param fleet the state
+ * @param atMs the time of the event
+ */
+export function wake(fleet: Fleet, atMs: number): FleetDecision {
+  const gapMs = atMs - fleet.clockMs;
+  const state = { ...fleet, clockMs: Math.max(atMs, fleet.clockMs) };
+  if (gapMs <= PAUSE_MS) return { state, effects: [] };
+  const { membership, standing } = state;
+  const renew = (member: Member): Member =>
+    member.status === 'suspect' ? { ...member, changedAtMs: atMs } : member;
+  const renewed = withMembership(state, {
+    probes: membership.probes.clear(),
+    relays: membership.relays.clear(),
+    members: membership.members.map(renew),
+    nextRoundAtMs: atMs,
+  });
+  const doubt = { isAwake: false, wokeAtMs: atMs, firstNonce: membership.nextNonce };
+  return {
+    state: {
+      ...renewed,
+      standing: { ...standing, ...doubt },
+      configuration: { ...state.configuration, nextPollAtMs: atMs, isPolling: false },
+    },
+    effects: [
+      { type: 'count', counter: 'pauses', by: 1 },
+      { type: 'log', level: 'warn', message: 'Was paused', fields: { gapMs: Math.round(gapMs) } },
+    ],
+  };
+}
--- /dev/null
+++ b/src/vms/watchServers.ts
@@ -0,0 +1,146 @@
+/** Probes backend servers: as one of their watchers, and itself where word of one grows old. */
+
+import { chain } from './chain';
+import { encodeDigest } from './encodeDigest';
+import type { Fleet, FleetDecision } from './fleet';
+import {
+  DIGEST_DELAY_MS,
+  FRESH_MS,
+  MAX_OWN_PROBES_PER_TICK,
+  OWN_PROBE_MS,
+  WATCH_PERIOD_MS,
+} from './fleetConstants';
+import type { FleetEffect } from './fleetMessage';
+import type { DigestTuple } from './gossip';
+import { sendGossip } from './sendGossip';
+import type { ServerRecord, ServerWord } from './serverRecord';
+import { serverRecordOf } from './serverRecordOf';
+import { splitDigests } from './splitDigests';
+import type { VmId } from './vm';
+import { withServer } from './withServer';
+
+/**
+ * Starts the probes and digests that are due.
+ *
+ * The VMs of a region stand in a ring. A watcher tells the next `g - 1` VMs of what it saw, `g` being
+ * the square root of the ring's length; once a period each VM passes what its predecessors told on to
+ * every `g`-th VM after it. So each VM hears of each server by two hops, for about `2 g` datagrams.
+ *
+ * @param fleet the state
+ * @param atMs now
+ */
+export function watchServers(fleet: Fleet, atMs: number): FleetDecision {
+  return chain(
+    fleet,
+    (state) => probeWatched(state, atMs),
+    (state) => probeOld(state, atMs),
+    (state) => sendOwnDigests(state, atMs),
+    (state) => relayDigests(state, atMs),
+  );
+}
+
+function probe(fleet: Fleet, server: string, atMs: number): FleetDecision {
+  const configured = fleet.configuration.applied.backendServer.get(server);
+  if (configured === undefined) return { state: fleet, effects: [] };
+  const effect: FleetEffect = { type: 'probe-server', server, address: configured.address };
+  return { state: withServer(fleet, server, { probedAtMs: atMs }), effects: [effect] };
+}
+
+function probeWatched(fleet: Fleet, atMs: number): FleetDecision {
+  const { watched, nextWatchAtMs } = fleet.servers;
+  if (atMs < nextWatchAtMs) return { state: fleet, effects: [] };
+  const servers = {
+    ...fleet.servers,
+    nextWatchAtMs: Math.max(nextWatchAtMs, atMs - WATCH_PERIOD_MS) + WATCH_PERIOD_MS,
+    digestAtMs: atMs + DIGEST_DELAY_MS,
+  };
+  return chain(
+    { ...fleet, servers },
+    ...watched.map((server) => (state: Fleet) => probe(state, server, atMs)),
+  );
+}
+
+function probeOld(fleet: Fleet, atMs: number): FleetDecision {
+  const old: string[] = [];
+  for (const { id } of fleet.servers.scope) {
+    if (old.length >= MAX_OWN_PROBES_PER_TICK) break;
+    const { word, probedAtMs } = serverRecordOf(fleet, id);
+    const isOld = word === undefined || atMs - word.observedAtMs > OWN_PROBE_MS;
+    if (isOld && atMs - probedAtMs > WATCH_PERIOD_MS / 2) old.push(id);
+  }
+  return chain(fleet, ...old.map((server) => (state: Fleet) => probe(state, server, atMs)));
+}
+
+function sendOwnDigests(fleet: Fleet, atMs: number): FleetDecision {
+  if (atMs < fleet.servers.digestAtMs) return { state: fleet, effects: [] };
+  const state = { ...fleet, servers: { ...fleet.servers, digestAtMs: Infinity } };
+  const digests = state.servers.watched.flatMap((id) => digestOf(state, id, atMs, ['own']));
+  const stride = strideOf(state);
+  const targets = Array.from({ length: stride - 1 }, (_, index) => index + 1);
+  return sendDigests(state, targets, digests, atMs);
+}
+
+function relayDigests(fleet: Fleet, atMs: number): FleetDecision {
+  const { nextRelayAtMs, scope } = fleet.servers;
+  if (atMs < nextRelayAtMs) return { state: fleet, effects: [] };
+  const due = Math.max(nextRelayAtMs, atMs - WATCH_PERIOD_MS) + WATCH_PERIOD_MS;
+  const state = { ...fleet, servers: { ...fleet.servers, nextRelayAtMs: due } };
+  const digests = scope.flatMap(({ id }) => digestOf(state, id, atMs, ['own', 'watcher']));
+  const stride = strideOf(state);
+  const steps = Math.max(0, Math.ceil(state.membership.ring.length / stride) - 1);
+  const targets = Array.from({ length: steps }, (_, index) => (index + 1) * stride);
+  return sendDigests(state, targets, digests, atMs);
+}
+
+function strideOf(fleet: Fleet): number {
+  return Math.max(1, Math.ceil(Math.sqrt(fleet.membership.ring.length)));
+}
+
+function digestOf(
+  fleet: Fleet,
+  server: string,
+  atMs: number,
+  vias: readonly ServerWord['via'][],
+): readonly DigestTuple[] {
+  const record: ServerRecord = serverRecordOf(fleet, server);
+  const { word } = record;
+  if (word === undefined || !vias.includes(word.via)) return [];
+  if (atMs - word.observedAtMs > FRESH_MS / 2) return [];
+  const isRelayed = vias.length > 1;
+  return [encodeDigest(server, record, word, atMs, isRelayed)];
+}
+
+/** Leaving servers first, in as many datagrams as it takes. */
+function sendDigests(
+  fleet: Fleet,
+  distances: readonly number[],
+  digests: readonly DigestTuple[],
+  atMs: number,
+): FleetDecision {
+  const ordered = [...digests].sort((one, other) => other[1] - one[1]);
+  const parts = splitDigests(ordered);
+  const targets = distances.map((distance) => memberAt(fleet, distance));
+  return chain(
+    fleet,
+    ...targets.flatMap((id) =>
+      parts.map((part) => (state: Fleet) => sendDigest(state, id, part, atMs)),
+    ),
+  );
+}
+
+function memberAt(fleet: Fleet, distance: number): VmId | undefined {
+  const { ring } = fleet.membership;
+  return ring[(ring.indexOf(fleet.vm.id) + distance) % ring.length];
+}
+
+function sendDigest(
+  fleet: Fleet,
+  id: VmId | undefined,
+  digests: readonly DigestTuple[],
+  atMs: number,
+): FleetDecision {
+  const member = id === undefined ? undefined : fleet.membership.members.get(id);
+  if (member === undefined) return { state: fleet, effects: [] };
+  const to = member.vm.addresses.gossip;
+  return sendGossip(fleet, { kind: 'digest', to, toId: member.id, nonce: 0, digests }, atMs);
+}
