Seal datagrams between VMs with a shared key

Cause: heartbeats and digests decide where work goes; whoever can send a datagram could move it. Change: an envelope with version, fleet, sender, incarnation, sequence and a truncated HMAC-SHA256; two keys are accepted, so that a key can be replaced; replayed, foreign, oversized and changed datagrams are dropped with a reason. Ruled out: DTLS, which needs a handshake with each of many peers.

--- /dev/null
+++ b/src/vms/openDatagram.ts
@@ -0,0 +1,56 @@
+/** Takes a datagram out of its envelope, or says why it is dropped. */
+
+import { timingSafeEqual } from 'node:crypto';
+import { hash32 } from '../hashing/hash32';
+import { admitSequence } from './admitSequence';
+import { DATAGRAM_VERSION, HEADER_BYTES, MAC_BYTES, MAX_DATAGRAM_BYTES } from './datagram';
+import type { DropReason, OpenedDatagram, ReplayWindows } from './datagram';
+import { macOf } from './macOf';
+
+export interface OpenOptions {
+  readonly fleet: string;
+  /** The current key and, while it is replaced, the previous or the next one. */
+  readonly keys: readonly Uint8Array[];
+  /** What was seen of each sender; the result has the next one. */
+  readonly windows: ReplayWindows;
+}
+
+const FLEET_AT = 1;
+const INCARNATION_AT = 5;
+const SEQUENCE_AT = 11;
+const ID_LENGTH_AT = 17;
+const LONG_NUMBER_BYTES = 6;
+
+/**
+ * Opens one datagram. Nothing of it is used before its code has been checked; a sequence number counts
+ * as seen only then.
+ *
+ * @param bytes as they came from the socket
+ * @param options fleet, keys and what was seen before
+ */
+export function openDatagram(bytes: Uint8Array, options: OpenOptions): OpenedDatagram {
+  if (bytes.length > MAX_DATAGRAM_BYTES) return drop('oversized');
+  const all = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  if (all.length < HEADER_BYTES + MAC_BYTES + 1) return drop('malformed');
+  if (all.readUInt8(0) !== DATAGRAM_VERSION) return drop('other-version');
+  if (all.readUInt32BE(FLEET_AT) !== hash32(options.fleet)) return drop('foreign-fleet');
+  const body = all.subarray(0, all.length - MAC_BYTES);
+  const mac = all.subarray(all.length - MAC_BYTES);
+  const isMade = (key: Uint8Array): boolean =>
+    timingSafeEqual(macOf(key, options.fleet, body), mac);
+  if (!options.keys.some(isMade)) return drop('unauthenticated');
+  const payloadAt = HEADER_BYTES + all.readUInt8(ID_LENGTH_AT);
+  if (payloadAt === HEADER_BYTES || payloadAt > body.length) return drop('malformed');
+  const envelope = {
+    sender: body.toString('utf8', HEADER_BYTES, payloadAt),
+    incarnation: all.readUIntBE(INCARNATION_AT, LONG_NUMBER_BYTES),
+    sequence: all.readUIntBE(SEQUENCE_AT, LONG_NUMBER_BYTES),
+  };
+  const windows = admitSequence(options.windows, envelope);
+  if (windows === undefined) return drop('replayed');
+  return { type: 'opened', envelope, payload: body.subarray(payloadAt), windows };
+}
+
+function drop(reason: DropReason): OpenedDatagram {
+  return { type: 'dropped', reason };
+}
