Answer intents with plans, confirm them in one transaction, run their steps

Cause: the plans side had message types only. An intent is planned and stored as a row; a confirm is one transaction over the plan's row, the head, the revision, the claims and the audit trail; longer plans run under a lease with fencing numbers. Messages: order-expiry and drain need the running count of an engine (optional field `running` of `engine-read`) and a VM that is told to leave emits `drain-self`. ModelService may name neededTokensPerSecond. Ruled out: reading the heads before each write; a conflict shows them. Execution has no failure tests yet.

--- /dev/null
+++ b/src/plans/buildTransaction.ts
@@ -0,0 +1,142 @@
+/** Turns a ledger write into one transaction of the table service. */
+
+import type { RevisionNumber } from '../configuration/configuration';
+import type { RowCondition, RowWrite, Transaction } from '../contracts/table';
+import type { AuditBody, AuditHead } from './auditEntry';
+import { chainAudit } from './chainAudit';
+import type { LedgerWrite } from './ledgerWrite';
+import { MAX_MARKERS } from './planLimits';
+import {
+  AUDIT_HEAD_KEY,
+  AUDIT_TABLE,
+  auditKey,
+  CLAIMS_TABLE,
+  encodePlanRecord,
+  LEASES_TABLE,
+  PLANS_TABLE,
+} from './planRows';
+import type { PlanRecord } from './planRecord';
+import type { Seen } from './planState';
+import {
+  CONFIGURATION_TABLE,
+  encodeRevision,
+  HEAD_KEY,
+  revisionKey,
+  type Head,
+} from './revisionRows';
+
+interface Part {
+  readonly conditions: readonly RowCondition[];
+  readonly writes: readonly RowWrite[];
+}
+
+/** The heads that the transaction is to follow. */
+export interface Heads {
+  readonly head: Seen<Head>;
+  readonly auditHead: Seen<AuditHead>;
+}
+
+/** The plan's row as the write leaves it. */
+export function recordAfter(write: LedgerWrite, head: Head): PlanRecord {
+  const revision = commitsRevision(write) ? head.revision + 1 : write.record.revision;
+  const markers = [...write.record.markers, write.id].slice(-MAX_MARKERS);
+  return { ...write.record, revision, markers };
+}
+
+/** Whether the write makes a revision; with no changes it only checks that the head stands. */
+export function commitsRevision({ commit }: LedgerWrite): boolean {
+  return commit !== undefined && commit.changes.length > 0;
+}
+
+/**
+ * Builds the transaction of a write: conditions and writes of the plan's row, the audit trail, the
+ * configuration, the lease and the claims. The plan's row comes first, the lease's second.
+ *
+ * @param write what to write
+ * @param heads the last revision and the last audit entry as last seen
+ */
+export function buildTransaction(write: LedgerWrite, heads: Heads): Transaction {
+  const parts = [
+    planPart(write, heads.head.value),
+    leasePart(write),
+    auditPart(write, heads),
+    commitPart(write, heads.head),
+    claimPart(write),
+  ];
+  return {
+    conditions: parts.flatMap((part) => part.conditions),
+    writes: parts.flatMap((part) => part.writes),
+  };
+}
+
+function planPart(write: LedgerWrite, head: Head): Part {
+  const key = write.record.plan.id;
+  const value = encodePlanRecord(recordAfter(write, head));
+  return {
+    conditions: [{ table: PLANS_TABLE, key, version: write.planVersion }],
+    writes: [{ table: PLANS_TABLE, key, value }],
+  };
+}
+
+function leasePart({ lease, record }: LedgerWrite): Part {
+  if (lease === undefined) return { conditions: [], writes: [] };
+  const key = record.plan.id;
+  const value = lease.value === undefined ? undefined : JSON.stringify(lease.value);
+  return {
+    conditions: [{ table: LEASES_TABLE, key, version: lease.expected }],
+    writes: [{ table: LEASES_TABLE, key, value }],
+  };
+}
+
+function auditPart(write: LedgerWrite, { head, auditHead }: Heads): Part {
+  if (write.audit.length === 0) return { conditions: [], writes: [] };
+  const before = head.value.revision;
+  const after = commitsRevision(write) ? before + 1 : before;
+  const bodies = write.audit.map((body) => withRevisions(body, before, after));
+  const chained = chainAudit(auditHead.value, bodies);
+  return {
+    conditions: [{ table: AUDIT_TABLE, key: AUDIT_HEAD_KEY, version: auditHead.version }],
+    writes: [
+      ...chained.entries.map((entry) => ({
+        table: AUDIT_TABLE,
+        key: auditKey(entry.sequence),
+        value: JSON.stringify(entry),
+      })),
+      { table: AUDIT_TABLE, key: AUDIT_HEAD_KEY, value: JSON.stringify(chained.head) },
+    ],
+  };
+}
+
+function withRevisions(body: AuditBody, before: RevisionNumber, after: RevisionNumber): AuditBody {
+  return { ...body, revisionBefore: before, revisionAfter: after };
+}
+
+function commitPart({ commit, id }: LedgerWrite, head: Seen<Head>): Part {
+  if (commit === undefined) return { conditions: [], writes: [] };
+  const conditions = [{ table: CONFIGURATION_TABLE, key: HEAD_KEY, version: head.version }];
+  if (commit.changes.length === 0) return { conditions, writes: [] };
+  const number = head.value.revision + 1;
+  const { operator, reason, changes } = commit;
+  const revision = encodeRevision({ number, changeId: id, changes, operator, reason });
+  const next: Head = { revision: number, changeId: id };
+  return {
+    conditions,
+    writes: [
+      { table: CONFIGURATION_TABLE, key: revisionKey(number), value: revision },
+      { table: CONFIGURATION_TABLE, key: HEAD_KEY, value: JSON.stringify(next) },
+    ],
+  };
+}
+
+function claimPart({ claims, record }: LedgerWrite): Part {
+  if (claims === undefined) return { conditions: [], writes: [] };
+  const rows = claims.keys.map((key) => ({ table: CLAIMS_TABLE, key }));
+  const conditions = rows.map((row) => ({ ...row, version: 0 }));
+  const value = JSON.stringify({ plan: record.plan.id });
+  const parts: Readonly<Record<typeof claims.action, Part>> = {
+    require: { conditions, writes: [] },
+    take: { conditions, writes: rows.map((row) => ({ ...row, value })) },
+    release: { conditions: [], writes: rows.map((row) => ({ ...row, value: undefined })) },
+  };
+  return parts[claims.action];
+}
--- /dev/null
+++ b/src/plans/digestObject.ts
@@ -0,0 +1,24 @@
+/** Digests of configuration objects, by which a plan notices that one has changed. */
+
+import { createHash } from 'node:crypto';
+
+/**
+ * Hashes any JSON value; the order of an object's keys does not matter.
+ *
+ * @param value a JSON value, or undefined
+ * @returns SHA-256 in lower-case hexadecimal, or undefined for undefined
+ */
+export function digestObject(value: unknown): string | undefined {
+  if (value === undefined) return undefined;
+  return createHash('sha256').update(canonicalText(value)).digest('hex');
+}
+
+function canonicalText(value: unknown): string {
+  return JSON.stringify(value, (_key, item: unknown) => sortKeys(item));
+}
+
+function sortKeys(item: unknown): unknown {
+  if (item === null || typeof item !== 'object' || Array.isArray(item)) return item;
+  const entries = Object.entries(item).sort(([one], [other]) => (one < other ? -1 : 1));
+  return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/src/plans/engineProblems.ts
@@ -0,0 +1,53 @@
+/** Finds what keeps an engine from holding what it is to hold. */
+
+import type { Configuration } from '../configuration/configuration';
+import type { Engine } from '../engines/engine';
+import type { Problem } from './draft';
+
+/** Share of an engine's memory that stays free for the KV cache. */
+export const KV_MEMORY_SHARE = 0.1;
+
+/** Bytes in a gigabyte, as memory is written in messages. */
+const BYTES_PER_GB = 1e9;
+
+/**
+ * Judges one engine as it would be.
+ *
+ * @returns nothing where its accelerators, model and layers are known and its memory is enough
+ */
+export function engineProblems(configuration: Configuration, engine: Engine): readonly Problem[] {
+  const kind = configuration.acceleratorKind.get(engine.acceleratorKind);
+  const model = configuration.model.get(engine.model);
+  if (kind === undefined) return [unknownName('accelerator kind', engine.acceleratorKind)];
+  if (model === undefined) return [unknownName('model', engine.model)];
+  const { from, to } = engine.layers;
+  if (from < 0 || to > model.layers || from >= to) {
+    return [
+      {
+        problem: `Engine ${engine.id} cannot hold layers ${from} to ${to - 1}: model ${model.id} has ${model.layers}`,
+        remedy: `Give layers with 0 <= from < to <= ${model.layers}`,
+      },
+    ];
+  }
+  const memory = kind.memoryBytes * engine.accelerators * (1 - KV_MEMORY_SHARE);
+  const most = Math.floor(memory / model.bytesPerLayer);
+  if (to - from <= most) return [];
+  return [
+    {
+      problem: `Engine ${engine.id} has memory for ${most} layers of model ${model.id}, not ${to - from} (${gigabytes((to - from) * model.bytesPerLayer)} GB in ${gigabytes(memory)} GB)`,
+      remedy: `Give it at most ${most} layers, or more accelerators`,
+    },
+  ];
+}
+
+/** The answer to a name that the configuration does not hold. */
+export function unknownName(kind: string, name: string): Problem {
+  return {
+    problem: `There is no ${kind} ${name}`,
+    remedy: `Correct the name, or add the ${kind} first`,
+  };
+}
+
+function gigabytes(bytes: number): string {
+  return (bytes / BYTES_PER_GB).toFixed(1);
+}
--- /dev/null
+++ b/src/plans/planIntent.ts
@@ -0,0 +1,86 @@
+/** Answers an intent with a plan, or with what would make it possible. */
+
+import type { Configuration } from '../configuration/configuration';
+import { completeSteps } from './completeSteps';
+import { costOf } from './costOf';
+import type { Draft, Impossible } from './draft';
+import type { Intent } from './intent';
+import type { Plan, PlanId } from './plan';
+import { planAddServer } from './planAddServer';
+import { planDescribeSite } from './planDescribeSite';
+import { planMoveModel } from './planMoveModel';
+import { planPutService } from './planPutService';
+import { planPutWorkspace } from './planPutWorkspace';
+import { planRetireServer } from './planRetireServer';
+import { planRetireService } from './planRetireService';
+import { planRetireVm } from './planRetireVm';
+import { planSetEngine } from './planSetEngine';
+import { predictThroughput } from './predictThroughput';
+
+type Planners = {
+  readonly [Type in Intent['type']]: (
+    configuration: Configuration,
+    intent: Extract<Intent, { readonly type: Type }>,
+  ) => Draft | Impossible;
+};
+
+const planners: Planners = {
+  'put-service': planPutService,
+  'retire-service': planRetireService,
+  'move-model': planMoveModel,
+  'add-backend-server': planAddServer,
+  'retire-backend-server': planRetireServer,
+  'retire-vm': planRetireVm,
+  'put-workspace': planPutWorkspace,
+  'set-engine': planSetEngine,
+  'describe-site': planDescribeSite,
+};
+
+export type Planned = { readonly type: 'planned'; readonly plan: Plan } | Impossible;
+
+/**
+ * Plans one intent.
+ *
+ * @param configuration the objects that the plan is based on
+ * @param intent what the operator wants
+ * @param id of the new plan
+ * @param operator who asked
+ */
+export function planIntent(
+  configuration: Configuration,
+  intent: Intent,
+  id: PlanId,
+  operator: string,
+): Planned {
+  const planner = planners[intent.type] as (
+    configuration: Configuration,
+    intent: Intent,
+  ) => Draft | Impossible;
+  const draft = planner(configuration, intent);
+  if (draft.type === 'impossible') return draft;
+  const { steps, stages } = completeSteps(configuration, draft.steps);
+  const { summary, preconditions, risks, rejected } = draft;
+  const throughput = predictThroughput(stages);
+  const plan: Plan = {
+    id,
+    operator,
+    summary,
+    basedOn: configuration.revision,
+    preconditions,
+    steps,
+    throughput,
+    cost: costOf(configuration, stages, steps),
+    risks: [...risks, ...throughputRisks(throughput)],
+    rejected,
+  };
+  return { type: 'planned', plan };
+}
+
+function throughputRisks(throughput: Plan['throughput']): readonly string[] {
+  return throughput
+    .filter(({ before, during }) => during < before)
+    .map(
+      ({ service, before, during }) =>
+        `${service} falls from ${Math.floor(before)} to ${Math.floor(during)} tokens/s meanwhile`,
+    );
+}
--- a/src/plans/planMessage.ts
+++ b/src/plans/planMessage.ts
@@ -33,6 +33,8 @@
       readonly service?: string;
       readonly who?: string;
       readonly limit: number;
+      /** Also checks the hash chain of the whole trail. */
+      readonly verify?: boolean;
     };
 
 export type PlanEvent =
@@ -57,11 +59,17 @@
       readonly type: 'engine-read';
       readonly call: CallId;
       readonly result:
-        | { readonly type: 'state'; readonly state: EngineState; readonly fencing: number }
+        | {
+            readonly type: 'state';
+            readonly state: EngineState;
+            readonly fencing: number;
+            /** Requests that run or wait on it, from its load report; needed to drain it. */
+            readonly running?: number;
+          }
         | { readonly type: 'unreachable' };
     } & Occurrence)
   | ({ readonly type: 'servers-changed'; readonly servers: readonly ServerHealth[] } & Occurrence)
-  /** Brings the wall clock and a fresh id with the timers of plans. */
+  /** Comes about once a second: brings the wall clock, and has this VM look for plans to carry out. */
   | ({ readonly type: 'ticked'; readonly wallMs: number; readonly id: string } & Occurrence)
   | SharedEvent;
 
@@ -87,4 +95,6 @@
       readonly address: Address;
     }
   | { readonly type: 'head-committed'; readonly revision: RevisionNumber }
+  /** This VM was told to leave by a confirmed plan; the fleet side drains it. */
+  | { readonly type: 'drain-self' }
   | SharedEffect;
--- /dev/null
+++ b/src/plans/setExecution.ts
@@ -0,0 +1,33 @@
+/** Changes what is noted of a plan that this VM carries out. */
+
+import type { Decision } from '../decisions/decision';
+import type { Execution } from './execution';
+import type { PlanId } from './plan';
+import type { PlanEffect } from './planMessage';
+import type { Plans } from './planState';
+
+/** Sets some fields. */
+export function setExecution(
+  state: Plans,
+  execution: Execution,
+  fields: Partial<Execution>,
+): Plans {
+  const next = { ...execution, ...fields };
+  return { ...state, executions: state.executions.set(execution.record.plan.id, next) };
+}
+
+/** Stops carrying a plan out here; its rows stay as they are. */
+export function dropExecution(
+  state: Plans,
+  plan: PlanId,
+  cause: string,
+): Decision<Plans, PlanEffect> {
+  const fields = { plan, cause };
+  return {
+    state: { ...state, executions: state.executions.delete(plan) },
+    effects: [
+      { type: 'clear-timer', timer: `execution/${plan}` },
+      { type: 'log', level: 'info', message: 'plan left', fields },
+    ],
+  };
+}
--- a/src/services/service.ts
+++ b/src/services/service.ts
@@ -22,6 +22,11 @@
   readonly tokenIntervalTargetMs: number;
   /** Largest prompt and answer together, tokens. */
   readonly maxTokens: number;
+  /**
+   * Throughput that the service cannot do without, tokens a second; no plan may take the model below
+   * the sum over its services. Where it is left out, every layer has to be held by some engine.
+   */
+  readonly neededTokensPerSecond?: number;
 }
 
 export interface PlainService {
