--- a/src/adapters/constants.ts
+++ b/src/adapters/constants.ts
@@ -1,6 +1,6 @@
 /** Named figures of the adapters. */
 
-import { BYTES_PER_KIB, BYTES_PER_MIB } from '../units';
+import { BYTES_PER_MIB } from '../units';
 
 /** Time in which a TCP connection has to be made, milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1000;
@@ -23,9 +23,6 @@
 /** Largest answer of a plain service, bytes. */
 export const MAX_ANSWER_BYTES = 4 * BYTES_PER_MIB;
 
-/** Largest datagram that is sent or taken, bytes; stays under common path limits with fragments. */
-export const MAX_DATAGRAM_BYTES = 60 * BYTES_PER_KIB;
-
 /** Connections kept to each backend server for streams, at most. */
 export const MAX_CONNECTIONS_PER_SERVER = 1024;
 
--- a/src/adapters/createGossipSocket.ts
+++ b/src/adapters/createGossipSocket.ts
@@ -1,18 +1,25 @@
-/** UDP between VMs: msgpack bodies, sealed with the fleet's key. */
+/** UDP between VMs: msgpack bodies in sealed envelopes. */
 
 import { createSocket } from 'node:dgram';
 import { decode, encode } from '@msgpack/msgpack';
-import type { Address } from '../vms/vm';
-import { MAX_DATAGRAM_BYTES } from './constants';
-import type { Seal } from './seal';
+import { OrderedMap } from 'immutable';
+import type { DropReason, ReplayWindows } from '../vms/datagram';
+import { openDatagram } from '../vms/openDatagram';
+import { sealDatagram } from '../vms/sealDatagram';
+import type { Address, Incarnation, VmId } from '../vms/vm';
 
 export interface GossipSocketOptions {
   readonly listen: Address;
-  readonly seal: Seal;
+  readonly sender: VmId;
+  readonly incarnation: Incarnation;
+  /** Name of the fleet; others with the same key stay apart by it. */
+  readonly fleet: string;
+  /** The first key seals, all of them are accepted. */
+  readonly keys: readonly Uint8Array[];
   /** Told of each datagram that carries a valid seal. */
   readonly onDatagram: (from: Address, body: unknown) => void;
   /** Told why a datagram was dropped, sent or received. */
-  readonly onDropped: (reason: 'oversized' | 'unsealed' | 'undecodable' | 'unsent') => void;
+  readonly onDropped: (reason: DropReason | 'undecodable' | 'unsent') => void;
 }
 
 export interface GossipSocket {
@@ -27,15 +34,20 @@
  * @param options where to listen, the seal and the listeners
  */
 export async function createGossipSocket(options: GossipSocketOptions): Promise<GossipSocket> {
-  const { listen, seal, onDatagram, onDropped } = options;
+  const { listen, sender, incarnation, fleet, keys, onDatagram, onDropped } = options;
+  const [key] = keys;
+  if (key === undefined) throw new RangeError('At least one fleet key is needed');
+  let windows: ReplayWindows = OrderedMap();
+  let sequence = 0;
   const socket = createSocket(listen.host.includes(':') ? 'udp6' : 'udp4');
   socket.on('message', (message, from) => {
-    const opened = seal.open(message);
-    if (opened === undefined) {
-      onDropped('unsealed');
+    const opened = openDatagram(message, { fleet, keys, windows });
+    if (opened.type === 'dropped') {
+      onDropped(opened.reason);
       return;
     }
-    const body = tryDecode(opened);
+    ({ windows } = opened);
+    const body = tryDecode(opened.payload);
     if (body === undefined) onDropped('undecodable');
     else onDatagram({ host: from.address, port: from.port }, body);
   });
@@ -54,12 +66,14 @@
     address: { host: listen.host, port: socket.address().port },
     send: (to, body) => {
       if (!isOpen) return;
-      const bytes = seal.close(encode(body, { ignoreUndefined: true }));
-      if (bytes.byteLength > MAX_DATAGRAM_BYTES) {
+      sequence += 1;
+      const payload = encode(body, { ignoreUndefined: true });
+      const sealed = sealDatagram(payload, { sender, incarnation, sequence, fleet, key });
+      if (sealed.type === 'oversized') {
         onDropped('oversized');
         return;
       }
-      socket.send(bytes, to.port, to.host, (error) => {
+      socket.send(sealed.bytes, to.port, to.host, (error) => {
         if (error !== null) onDropped('unsent');
       });
     },
--- a/src/node/countWork.ts
+++ b/src/node/countWork.ts
@@ -4,18 +4,12 @@
 import type { RouterNode } from './createNode';
 
 /**
- * Counts what is in progress: callers who wait here, and operations that run for other VMs.
+ * Counts what is in progress: requests, and calls whether their callers wait here, there or no more.
  *
  * @param waiting those who wait
  * @param node the state of the node
  */
 export function countWork(waiting: Waiting, node: RouterNode): number {
-  const { running, isDraining, isHandedOver } = node.operations;
-  const toHandOver = isDraining && !isHandedOver ? 1 : 0;
-  return (
-    Math.max(waiting.streams.size, node.router.requests.size) +
-    waiting.calls.size() +
-    running.size +
-    toHandOver
-  );
+  const streams = Math.max(waiting.streams.size, node.router.requests.size);
+  return streams + Math.max(waiting.calls.size(), node.operations.running.size);
 }
--- /dev/null
+++ b/src/node/createHttpHost.ts
@@ -0,0 +1,53 @@
+/** What the HTTP side of a daemon sees of its node. */
+
+import { performance } from 'node:perf_hooks';
+import type { HttpHost } from '../adapters/exchange';
+import type { RouterNode } from './createNode';
+import type { NodeActor } from './createNodeActor';
+import type { Ports } from './ports';
+import type { Settings } from './settings';
+import { viewNode } from './viewNode';
+
+/**
+ * Joins the node and its ports for the HTTP side, and shows the gauges that both give.
+ *
+ * @param settings the VM's settings
+ * @param actor the node
+ * @param ports what the shell reaches the world through
+ * @param createId gives fresh ids, unique in the fleet
+ */
+export function createHttpHost(
+  settings: Settings,
+  actor: NodeActor<RouterNode>,
+  { metrics, waiting }: Ports,
+  createId: () => string,
+): HttpHost {
+  const configuration = () => actor.state().router.configuration;
+  metrics.gauge('requests_running', 'Model requests in progress.', () => waiting.streams.size);
+  metrics.gauge('calls_running', 'Calls to plain services in progress.', () =>
+    waiting.calls.size(),
+  );
+  metrics.gauge(
+    'configuration_revision',
+    'Revision that this VM has applied.',
+    () => configuration().revision,
+  );
+  return {
+    send: actor.send,
+    waiting,
+    createId,
+    configuration,
+    limits: settings.limits,
+    operators: settings.operators,
+    now: () => performance.now(),
+    count: (counter, labels) => {
+      metrics.count(counter, 1, labels);
+    },
+    metrics: async () => ({ contentType: metrics.contentType, text: await metrics.text() }),
+    readiness: () => {
+      const { isAccepting, reason } = actor.state().fleet.standing;
+      return { isReady: isAccepting, reason };
+    },
+    view: (name, argument) => viewNode(actor.state(), name, argument),
+  };
+}
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -2,28 +2,30 @@
 
 import { createOperations } from '../operations/createOperations';
 import { reduceOperations } from '../operations/reduceOperations';
+import { createPlans } from '../plans/createPlans';
+import { reducePlans } from '../plans/reducePlans';
 import { createRouter } from '../requests/createRouter';
 import { reduceRouter } from '../requests/reduceRouter';
+import { createFleet } from '../vms/createFleet';
+import { reduceFleet } from '../vms/reduceFleet';
 import type { Incarnation } from '../vms/vm';
 import { createNodeReducer } from './createNodeReducer';
 import type { Node } from './createNodeReducer';
-import { createPlaceholder, reducePlaceholderFleet, reducePlaceholderPlans } from './placeholder';
-import type { Placeholder } from './placeholder';
 import type { Settings } from './settings';
 
 export type RouterNode = Node<
   ReturnType<typeof createRouter>,
   ReturnType<typeof createOperations>,
-  Placeholder,
-  Placeholder
+  ReturnType<typeof createFleet>,
+  ReturnType<typeof createPlans>
 >;
 
 /** Drives all four sides. */
 export const reduceNode = createNodeReducer({
   router: reduceRouter,
   operations: reduceOperations,
-  fleet: reducePlaceholderFleet,
-  plans: reducePlaceholderPlans,
+  fleet: reduceFleet,
+  plans: reducePlans,
 });
 
 /**
@@ -38,7 +40,7 @@
   return {
     router: createRouter({ maxRunning: limits.concurrentRequests }),
     operations: createOperations({ vm: vm.id, incarnation, ticketKeys }),
-    fleet: createPlaceholder(),
-    plans: createPlaceholder(),
+    fleet: createFleet({ answerValidMs: settings.answerValidMs }),
+    plans: createPlans({ vm: vm.id, holder: `${vm.id}/${incarnation}` }),
   };
 }
--- a/src/node/parseSettings.ts
+++ b/src/node/parseSettings.ts
@@ -77,7 +77,9 @@
     vm: { id: vm.id, region: vm.region, failureDomain: vm.failure_domain },
     listen,
     platform,
+    fleet: fleet.name,
     seeds: fleet.seeds,
+    answerValidMs: fleet.answer_valid_ms,
     keys,
     operators: operators.map(({ name, role, token_hash: tokenHash }) => ({
       name,
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -54,7 +54,11 @@
   };
   readonly listen: VmAddresses;
   readonly platform: PlatformSettings;
+  /** Name of the fleet; VMs of another one are not heard even under the same key. */
+  readonly fleet: string;
   readonly seeds: readonly Address[];
+  /** Time for which an answer with addresses stays good, milliseconds; alike on every VM. */
+  readonly answerValidMs: number;
   readonly keys: FleetKeys;
   readonly operators: readonly OperatorSettings[];
   readonly limits: LimitSettings;
--- a/src/node/settingsSchema.ts
+++ b/src/node/settingsSchema.ts
@@ -4,6 +4,7 @@
  */
 
 import { z } from 'zod';
+import { ANSWER_VALID_MS } from '../vms/fleetConstants';
 import type { Address } from '../vms/vm';
 import { DEFAULT_LIMITS, MAX_PORT } from './constants';
 
@@ -86,7 +87,9 @@
   listen: table({ http: address, peer: address, gossip: address }),
   platform: table({ table: url, objects: url, membership: url }),
   fleet: table({
+    name: name.default('citronpass'),
     seeds: z.array(address, { error: 'accepted is a list of "IP:port"' }).max(64).default([]),
+    answer_valid_ms: count(100, 600_000, ANSWER_VALID_MS),
     key: secret,
     previous_key: secret.optional(),
   }),
--- a/src/node/startDaemon.ts
+++ b/src/node/startDaemon.ts
@@ -5,33 +5,25 @@
 
 import { randomBytes, randomInt } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
-import { Agent } from 'undici';
-import { CONNECT_TIMEOUT_MS, MAX_CONNECTIONS_PER_SERVER } from '../adapters/constants';
-import { createEngineClient } from '../adapters/createEngineClient';
-import { createGossipSocket } from '../adapters/createGossipSocket';
 import { createHttpServer } from '../adapters/createHttpServer';
-import { createMembershipClient } from '../adapters/createMembershipClient';
-import { createPeerClient } from '../adapters/createPeerClient';
 import { createPeerServer } from '../adapters/createPeerServer';
-import { createPlainCaller } from '../adapters/createPlainCaller';
 import { createSeal } from '../adapters/createSeal';
-import { createServerProbe } from '../adapters/createServerProbe';
-import { createTableClient } from '../adapters/createTableClient';
 import { errorText } from '../adapters/errorText';
 import { createRandom } from '../random/createRandom';
-import type { Vm } from '../vms/vm';
+import type { Incarnation, Vm } from '../vms/vm';
 import { answerPeer } from './answerPeer';
-import { PLAN_TICK_MS, WORK_COUNT_MS } from './constants';
+import { PLAN_TICK_MS } from './constants';
 import { countWork } from './countWork';
+import { createDrain } from './createDrain';
+import { createHttpHost } from './createHttpHost';
 import { createInterpreter } from './createInterpreter';
 import { createLog } from './createLog';
 import type { Log } from './createLog';
-import { createMetrics } from './createMetrics';
 import { createNode, reduceNode } from './createNode';
 import type { RouterNode } from './createNode';
 import { createNodeActor } from './createNodeActor';
-import { createTimers } from './createTimers';
-import { createWaiting } from './createWaiting';
+import type { NodeActor } from './createNodeActor';
+import { createPorts } from './createPorts';
 import { interpretFleet } from './interpretFleet';
 import { interpretOperations } from './interpretOperations';
 import { interpretPlans } from './interpretPlans';
@@ -41,12 +33,13 @@
 import { refuseFaulty } from './refuseFaulty';
 import type { Settings } from './settings';
 import type { Send } from './untimedEvent';
-import { viewNode } from './viewNode';
 
 export interface DaemonOptions {
   readonly log?: Log;
   /** Seed of the randomness in decisions. */
   readonly seed?: number;
+  /** Told where a confirmed plan makes this VM leave; the drain has started by then. */
+  readonly onRetired?: (drained: Promise<void>) => void;
 }
 
 export interface Daemon {
@@ -55,7 +48,7 @@
   readonly state: () => RouterNode;
   /** Requests and calls in progress. */
   readonly countWork: () => number;
-  /** Starts a drain; resolves when nothing is left and the VM may stop. */
+  /** Starts a drain, once; resolves when nothing is left and the VM may stop. */
   readonly drain: () => Promise<void>;
   /** Ends everything at once. */
   readonly stop: () => Promise<void>;
@@ -68,56 +61,25 @@
  * Starts a daemon.
  *
  * @param settings checked settings
- * @param options the log, and a seed for repeatable runs
+ * @param options the log, a seed for repeatable runs, and who is told of a retirement
  */
 export async function startDaemon(
   settings: Settings,
   options: DaemonOptions = {},
 ): Promise<Daemon> {
   const { seed = randomInt(SEEDS), log = createLog({ fields: { vm: settings.vm.id } }) } = options;
+  const { onRetired = () => undefined } = options;
   const incarnation = Date.now();
-  const metrics = createMetrics();
-  const waiting = createWaiting();
-  const dispatcher = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    connections: MAX_CONNECTIONS_PER_SERVER,
-  });
-  const seal = createSeal(settings.keys);
-  const random = createRandom(seed);
-  let drained: () => void = () => undefined;
-
-  // Sockets come before the actor, which holds events until it runs; `send` is set below.
-  let send: Send = () => undefined;
-  const gossip = await createGossipSocket({
-    listen: settings.listen.gossip,
-    seal,
-    onDatagram: (from, body) => {
-      send({ side: 'fleet', event: { type: 'datagram-received', from, body } });
-    },
-    onDropped: (reason) => {
-      metrics.count('datagrams_dropped', 1, { reason });
-    },
-  });
-  const timers = createTimers((side, timer) => {
-    send({ side, event: { type: 'timer-fired', timer } });
-  });
-  const peers = createPeerClient(seal);
-  const ports: Ports = {
-    send: (...events) => {
-      send(...events);
-    },
-    timers,
-    metrics,
+  const createId = createIds(settings.vm.id, incarnation);
+  const { ports, gossipAddress, close } = await createPorts(
+    settings,
+    incarnation,
     log,
-    waiting,
-    gossip,
-    peers,
-    table: createTableClient({ url: settings.platform.table, dispatcher }),
-    membership: createMembershipClient({ url: settings.platform.membership, dispatcher }),
-    engines: createEngineClient(dispatcher),
-    probe: createServerProbe(dispatcher),
-    callPlain: createPlainCaller(dispatcher),
-  };
+    (...events) => {
+      actor.send(...events);
+    },
+  );
+  const drain = createDrain(ports, () => actor.state());
   const interpret = createInterpreter({
     shared: interpretShared(ports),
     sides: {
@@ -131,112 +93,81 @@
       fleet: interpretFleet(ports, {
         vm: settings.vm.id,
         isEngine: (server) => actor.state().router.configuration.engine.has(server),
-        onDrained: () => {
-          drained();
+        onDrained: drain.finish,
+      }),
+      plans: interpretPlans(ports, {
+        onDrainAsked: () => {
+          onRetired(drain.start());
         },
       }),
-      plans: interpretPlans(ports),
-    },
-  });
-  const actor = createNodeActor({
-    reduce: reduceNode,
-    initialState: createNode(settings, incarnation),
-    interpret,
-    now: () => performance.now(),
-    seed: () => random.integer(SEEDS),
-    onFault: (fault, cause) => {
-      const { side, event } = cause;
-      metrics.count('decision_faults', 1, { side, event: event.type });
-      log.write('error', 'decision failed', { side, event: event.type, fault: errorText(fault) });
-      refuseFaulty(cause, waiting);
     },
   });
-  ({ send } = actor);
-
-  const idPrefix = `${settings.vm.id}-${incarnation.toString(36)}-${randomBytes(2).toString('hex')}`;
-  let ids = 0;
-  const createId = (): string => {
-    ids += 1;
-    return `${idPrefix}-${ids.toString(36)}`;
-  };
+  const actor = createActor(createNode(settings, incarnation), interpret, seed, ports);
   const peerServer = await createPeerServer({
     listen: settings.listen.peer,
-    seal,
-    answer: answerPeer({ incarnation, send, waiting, createId }),
+    seal: createSeal(settings.keys),
+    answer: answerPeer({ incarnation, send: ports.send, waiting: ports.waiting, createId }),
   });
-  const http = await createHttpServer(settings.listen.http, {
-    send,
-    waiting,
-    createId,
-    configuration: () => actor.state().router.configuration,
-    limits: settings.limits,
-    operators: settings.operators,
-    now: () => performance.now(),
-    count: (counter, labels) => {
-      metrics.count(counter, 1, labels);
-    },
-    metrics: async () => ({ contentType: metrics.contentType, text: await metrics.text() }),
-    readiness: () => {
-      const { isAccepting, refusalReason } = actor.state().router;
-      return { isReady: isAccepting, reason: refusalReason };
-    },
-    view: (name, argument) => viewNode(actor.state(), name, argument),
-  });
-  metrics.gauge('requests_running', 'Model requests in progress.', () => waiting.streams.size);
-  metrics.gauge('calls_running', 'Calls to plain services in progress.', () =>
-    waiting.calls.size(),
+  const http = await createHttpServer(
+    settings.listen.http,
+    createHttpHost(settings, actor, ports, createId),
   );
-  metrics.gauge(
-    'configuration_revision',
-    'Revision that this VM has applied.',
-    () => actor.state().router.configuration.revision,
-  );
-
-  const vm: Vm = {
-    ...settings.vm,
-    incarnation,
-    addresses: { http: http.address, peer: peerServer.address, gossip: gossip.address },
-  };
+  const addresses = { http: http.address, peer: peerServer.address, gossip: gossipAddress };
+  const vm: Vm = { ...settings.vm, incarnation, addresses };
   const ticker = setInterval(() => {
-    send({ side: 'plans', event: { type: 'ticked', wallMs: Date.now(), id: createId() } });
+    ports.send({ side: 'plans', event: { type: 'ticked', wallMs: Date.now(), id: createId() } });
   }, PLAN_TICK_MS);
-  send({ side: 'fleet', event: { type: 'started', vm, seeds: settings.seeds } });
+  ports.send({ side: 'fleet', event: { type: 'started', vm, seeds: settings.seeds } });
   log.write('info', 'listening', {
-    http: http.address.port,
-    peer: peerServer.address.port,
-    gossip: gossip.address.port,
+    http: addresses.http.port,
+    peer: addresses.peer.port,
+    gossip: addresses.gossip.port,
   });
-
-  const stop = async (): Promise<void> => {
-    clearInterval(ticker);
-    clearInterval(counter);
-    timers.clearAll();
-    actor.stop();
-    gossip.close();
-    peers.close();
-    peerServer.close();
-    await http.close();
-    await dispatcher.destroy();
-  };
-  let counter: NodeJS.Timeout | undefined;
   return {
     vm,
-    send,
+    send: ports.send,
     state: actor.state,
-    countWork: () => countWork(waiting, actor.state()),
-    drain: () =>
-      new Promise((resolve) => {
-        drained = resolve;
-        log.write('info', 'drain started', { running: countWork(waiting, actor.state()) });
-        send(
-          { side: 'fleet', event: { type: 'drain-started' } },
-          { side: 'operations', event: { type: 'drain-started' } },
-        );
-        counter = setInterval(() => {
-          const running = countWork(waiting, actor.state());
-          send({ side: 'fleet', event: { type: 'work-counted', running } });
-        }, WORK_COUNT_MS);
-      }),
-    stop,
+    countWork: () => countWork(ports.waiting, actor.state()),
+    drain: drain.start,
+    stop: async () => {
+      clearInterval(ticker);
+      drain.stop();
+      actor.stop();
+      peerServer.close();
+      await http.close();
+      await close();
+    },
   };
 }
+
+/** Ids that no other VM and no other life of this one gives. */
+function createIds(vm: string, incarnation: Incarnation): () => string {
+  const prefix = `${vm}-${incarnation.toString(36)}-${randomBytes(2).toString('hex')}`;
+  let given = 0;
+  return () => {
+    given += 1;
+    return `${prefix}-${given.toString(36)}`;
+  };
+}
+
+function createActor(
+  initialState: RouterNode,
+  interpret: Parameters<typeof createNodeActor<RouterNode>>[0]['interpret'],
+  seed: number,
+  { metrics, log, waiting }: Ports,
+): NodeActor<RouterNode> {
+  const random = createRandom(seed);
+  return createNodeActor({
+    reduce: reduceNode,
+    initialState,
+    interpret,
+    now: () => performance.now(),
+    seed: () => random.integer(SEEDS),
+    onFault: (fault, cause) => {
+      const { side, event } = cause;
+      metrics.count('decision_faults', 1, { side, event: event.type });
+      log.write('error', 'decision failed', { side, event: event.type, fault: errorText(fault) });
+      refuseFaulty(cause, waiting);
+    },
+  });
+}
--- a/src/node/testSite.ts
+++ b/src/node/testSite.ts
@@ -3,8 +3,11 @@
  * a model between them with a replica of the first stage, a plain service, and one daemon on ports that the system chooses.
  */
 
-import { setImmediate } from 'node:timers/promises';
-import type { Configuration } from '../configuration/configuration';
+import { setTimeout } from 'node:timers/promises';
+import type { Change, Configuration, ObjectKind } from '../configuration/configuration';
+import { CONFIGURATION_TABLE, HEAD_KEY } from '../configuration/configurationConstants';
+import { encodeRevision } from '../configuration/encodeRevision';
+import { revisionKey } from '../configuration/revisionKey';
 import { createConfiguration } from '../configuration/createConfiguration';
 import { hashToken } from '../adapters/hashToken';
 import type { Address } from '../vms/vm';
@@ -28,7 +31,21 @@
 /** Bearer token of the operator `amina`, who may confirm. */
 export const OPERATOR_TOKEN = 'operator-token';
 
+const OBJECT_KINDS: readonly ObjectKind[] = [
+  'failureDomain',
+  'link',
+  'acceleratorKind',
+  'model',
+  'backendServer',
+  'engine',
+  'workspace',
+  'service',
+];
+
 const STAGE_LAYERS = 4;
+
+/** Time between two looks at whether the daemon knows the site, milliseconds. */
+const POLL_MS = 5;
 /** Stage of each engine; the last engine is a replica of the first. */
 const STAGES: readonly (readonly [string, number])[] = [
   ['engine-0', 0],
@@ -63,9 +80,10 @@
   const engines = await Promise.all(STAGES.map(([id, stage]) => startStage(id, stage, stepMs)));
   const plain = await startPlainService({ id: 'desk-0' });
   const settings = createSettings(platform, { ...DEFAULT_LIMITS, ...limits });
+  const [table] = platform;
+  await writeRevision(table, listChanges(createSiteConfiguration(engines, plain)));
   const daemon = await startDaemon(settings, { seed: 1, log: { write: () => undefined } });
-  introduce(daemon, createSiteConfiguration(engines, plain));
-  while (!knowsSite(daemon)) await setImmediate();
+  while (!isReady(daemon)) await setTimeout(POLL_MS);
   const { host, port } = daemon.vm.addresses.http;
   return {
     daemon,
@@ -107,31 +125,39 @@
     vm: { id: 'vm-1', region: 'nairobi', failureDomain: 'a' },
     listen: { http: anyPort, peer: anyPort, gossip: anyPort },
     platform: { table, objects, membership },
+    fleet: 'test',
     seeds: [],
+    answerValidMs: 100,
     keys: { current: 'test-key-of-thirty-two-bytes-....' },
     operators: [{ name: 'amina', role: 'confirm', tokenHash: hashToken(OPERATOR_TOKEN) }],
     limits,
   };
 }
 
-function knowsSite(daemon: Daemon): boolean {
-  const { router, operations } = daemon.state();
-  return router.configuration.revision > 0 && operations.configuration.revision > 0;
+function isReady(daemon: Daemon): boolean {
+  const { fleet, router, operations } = daemon.state();
+  const revision = Math.min(router.configuration.revision, operations.configuration.revision);
+  const usable = [...router.health.values()].filter((server) => server.isUsable);
+  return fleet.standing.isAccepting && revision === 1 && usable.length === STAGES.length + 1;
 }
 
-function introduce(daemon: Daemon, configuration: Configuration): void {
-  const servers = [...configuration.backendServer.keys()].map((server) => ({
-    server,
-    isUsable: true,
-    weight: 1,
-  }));
-  for (const side of ['router', 'operations'] as const) {
-    daemon.send(
-      { side, event: { type: 'configuration-changed', configuration } },
-      { side, event: { type: 'servers-changed', servers } },
-      { side, event: { type: 'accepting-changed', isAccepting: true, reason: '' } },
-    );
-  }
+function listChanges(configuration: Configuration): readonly Change[] {
+  const list = (kind: ObjectKind): readonly Change[] =>
+    [...configuration[kind]].map(([key, value]) => ({ type: 'put', kind, key, value }) as Change);
+  return OBJECT_KINDS.flatMap(list);
+}
+
+/** Writes the site's objects as the first revision, as a confirmed plan would. */
+async function writeRevision(table: Server, changes: readonly Change[]): Promise<void> {
+  const revision = { number: 1, changeId: 'site', changes, operator: 'amina', reason: 'site' };
+  const row = (key: string, value: string) => ({ table: CONFIGURATION_TABLE, key, value });
+  const head = JSON.stringify({ revision: 1, changeId: revision.changeId });
+  const writes = [row(revisionKey(1), encodeRevision(revision)), row(HEAD_KEY, head)];
+  const reply = await fetch(`http://${table.host}:${table.port}/v1/transactions`, {
+    method: 'POST',
+    body: JSON.stringify({ conditions: [], writes }),
+  });
+  if (!reply.ok) throw new Error(`The table answered ${reply.status}`);
 }
 
 function createSiteConfiguration(engines: readonly Server[], plain: Server): Configuration {
