Claim callers' own keys, record results and find lost outcomes

Cause: a caller without a ticket, a home that is gone and a VM that drains each need the table to keep an operation from running twice and its outcome known. Change: a caller's own key is claimed by a conditional insert before dispatch; a lost reply is read back, and a claim that was never dispatched is released by its claimer. Released rows stay, so that versions only grow and a delayed write can't hit a later claim. Results go to the table behind the answers, many to a row; a batch earns a pause by its rows and the number of VMs. The outcome of an operation whose home is gone is searched in those rows, then by the status look-up, else it is unknown. Memory is bounded; what is forgotten leaves a watermark under which nothing is dispatched again. Ruled out: deleting a released row (a version could come again); one row for each result (2,000 operations a second would need 2,000 writes a second); recording numbers that were shut by a refusal (a flood of refusals would push results out).

--- a/src/operations/beginOperation.ts
+++ b/src/operations/beginOperation.ts
@@ -20,6 +20,7 @@
   OperationsState,
   RunningOperation,
 } from './operationsState';
+import { refuseCall } from './refuseCall';
 import { refuseOperation } from './refuseOperation';
 import { step, type OperationsStep } from './step';
 
@@ -44,6 +45,7 @@
   at: Occurrence,
 ): OperationsStep {
   const { key, origin, call, contract, waiters } = operation;
+  if (state.running.has(key) || state.remembered.has(key)) return refuseSecondRun(state, operation);
   const candidates = listCandidates(state, operation.service);
   const server = chooseServer(candidates, createRandom(at.seed));
   const refusal = findObstacle(state, call, contract, server === undefined);
@@ -79,6 +81,20 @@
   );
 }
 
+/** The invariant of this side: what is in memory is never dispatched again. */
+function refuseSecondRun(state: OperationsState, operation: NewOperation): OperationsStep {
+  const detail = 'The operation would have been dispatched twice; this is a defect of the router';
+  const refusal = { outcome: 'unknown', reason: 'invariant-violated', detail } as const;
+  const counted = { type: 'count', counter: 'invariant_violations', by: 1 } as const;
+  return chain(
+    state,
+    (next) => step(next, counted),
+    ...operation.waiters.map(
+      (waiter) => (next: OperationsState) => refuseCall(next, waiter, refusal),
+    ),
+  );
+}
+
 const noServer: Refusal = {
   outcome: 'not-run',
   reason: 'no-usable-server',
@@ -87,9 +103,6 @@
 };
 
 function addRunning(state: OperationsState, running: RunningOperation): OperationsState {
-  if (state.running.has(running.key) || state.remembered.has(running.key)) {
-    throw new RangeError(`Operation ${running.key} would be dispatched twice`);
-  }
   const { origin } = running;
   const held = origin.type === 'ticket' ? holdTicket(state, origin.serial) : state;
   return { ...held, running: held.running.set(running.key, running) };
--- /dev/null
+++ b/src/operations/claimOperation.ts
@@ -0,0 +1,34 @@
+/** Starts the claim of a caller's own key. */
+
+import type { Occurrence } from '../decisions/primitive';
+import { callTable } from './callTable';
+import type { PlainCall } from './operationMessage';
+import { CLAIM_TABLE } from './operationLimits';
+import type { OperationKey, OperationsState } from './operationsState';
+import { sendClaim } from './sendClaim';
+import type { OperationsStep } from './step';
+
+/**
+ * Inserts the key's row where none is. A VM that takes no new work only reads it, so that a repeat of
+ * what ran elsewhere still gets its answer.
+ */
+export function claimOperation(
+  state: OperationsState,
+  key: OperationKey,
+  call: PlainCall,
+  at: Occurrence,
+): OperationsStep {
+  const { vm, incarnation } = state.options;
+  const claim = {
+    key,
+    token: `${vm}/${incarnation}/${state.nextCall}/${at.seed}`,
+    call,
+    waiters: [call.call],
+    tries: 0,
+    isAmbiguous: false,
+  };
+  if (state.isAccepting && !state.isDraining) return sendClaim(state, claim, 0);
+  const next = { ...state, claims: state.claims.set(key, claim) };
+  const request = { type: 'read-rows', table: CLAIM_TABLE, keys: [key] } as const;
+  return callTable(next, { type: 'claim-read', key }, request);
+}
--- a/src/operations/createOperations.ts
+++ b/src/operations/createOperations.ts
@@ -1,8 +1,14 @@
 /** The operations side of a node that has just started. */
 
-import { List, Map, OrderedMap } from 'immutable';
+import { List, Map } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
-import { MAX_REMEMBERED, MAX_REMEMBERED_BYTES, MAX_RUNNING, MAX_TICKETS } from './operationLimits';
+import {
+  MIN_RECORD_INTERVAL_MS,
+  MAX_REMEMBERED,
+  MAX_REMEMBERED_BYTES,
+  MAX_RUNNING,
+  MAX_TICKETS,
+} from './operationLimits';
 import type { OperationsOptions, OperationsState } from './operationsState';
 
 /**
@@ -37,6 +43,7 @@
     running: Map(),
     remembered: Map(),
     finished: List(),
+    shut: List(),
     rememberedBytes: 0,
     dispatches: Map(),
     lookups: Map(),
@@ -44,11 +51,14 @@
     forwards: Map(),
     resolutions: Map(),
     scans: Map(),
+    tableCalls: Map(),
     claims: Map(),
-    releases: OrderedMap(),
+    releases: Map(),
     unrecorded: List(),
     batch: undefined,
     nextChunk: 1,
+    chunks: List(),
+    recordPauseMs: MIN_RECORD_INTERVAL_MS,
     isRecordTimerSet: false,
   };
 }
--- a/src/operations/finishDispatch.ts
+++ b/src/operations/finishDispatch.ts
@@ -4,6 +4,7 @@
 import type { BackendEnd } from './backendEnd';
 import { chain } from './chain';
 import { finishLookup } from './finishLookup';
+import { finishStatus } from './finishStatus';
 import { finishOperation } from './finishOperation';
 import type { OperationEvent } from './operationMessage';
 import { RETRY_AFTER_MS } from './operationLimits';
@@ -61,10 +62,10 @@
   at: Occurrence,
 ): OperationsStep {
   if (dispatch.type === 'lookup') return finishLookup(state, dispatch, end, at);
-  if (dispatch.type === 'resolution') return step(state);
+  if (dispatch.type === 'resolution') return finishStatus(state, dispatch.call, end);
   const running = state.running.get(dispatch.key);
   if (running === undefined) return step(state);
-  const finish = { operation: finishFirst, repeat: finishRepeat, status: finishStatus } as const;
+  const finish = { operation: finishFirst, repeat: finishRepeat, status: finishOwnStatus } as const;
   return finish[dispatch.type](state, running, end, at.atMs);
 }
 
@@ -93,7 +94,7 @@
 }
 
 /** Only a 200 settles it: a call that the server does not know may still be on its way. */
-function finishStatus(
+function finishOwnStatus(
   state: OperationsState,
   running: RunningOperation,
   end: BackendEnd,
--- a/src/operations/finishForward.ts
+++ b/src/operations/finishForward.ts
@@ -16,5 +16,5 @@
   if (result.type === 'answered' || result.type === 'refused') {
     return step(next, { type: 'answer', call: event.call, result });
   }
-  return resolveOutcome(next, call, `home-${result.type}`, event);
+  return resolveOutcome(next, call, `home-${result.type}`);
 }
--- a/src/operations/finishOperation.ts
+++ b/src/operations/finishOperation.ts
@@ -41,6 +41,15 @@
   const { key, origin, fingerprint } = running;
   if (origin.type === 'anonymous') return step(state);
   const isNotRun = result.type === 'refused' && result.refusal.outcome === 'not-run';
-  if (origin.type === 'claim' && isNotRun) return releaseClaim(state, key, origin, 0);
-  return rememberResult(state, { key, origin, fingerprint, result, finishedAtMs: atMs });
+  if (origin.type === 'claim' && isNotRun) {
+    return releaseClaim(state, key, origin.token, fingerprint, origin.version);
+  }
+  return rememberResult(state, {
+    key,
+    origin,
+    fingerprint,
+    result,
+    finishedAtMs: atMs,
+    isShut: false,
+  });
 }
--- a/src/operations/fireTimer.ts
+++ b/src/operations/fireTimer.ts
@@ -2,6 +2,9 @@
 
 import type { Occurrence, TimerName } from '../decisions/primitive';
 import type { OperationsState } from './operationsState';
+import { readRelease } from './readRelease';
+import { recordAgain } from './recordAgain';
+import { recordResults } from './recordResults';
 import { retryLookup } from './retryLookup';
 import { trySettling } from './trySettling';
 import { step, type OperationsStep } from './step';
@@ -10,6 +13,9 @@
 
 const timers: Readonly<Record<string, TimerHandler>> = {
   settle: (state, key, at) => trySettling(state, key, at.atMs),
+  record: (state, _, at) => recordResults(state, at.atMs),
+  'record-again': recordAgain,
+  release: readRelease,
   hedge: (state, call, at) => {
     const lookup = state.lookups.get(call);
     return (lookup && retryLookup(state, lookup, at)) ?? step(state);
--- a/src/operations/operationsFixture.ts
+++ b/src/operations/operationsFixture.ts
@@ -3,8 +3,15 @@
 import type { Configuration } from '../configuration/configuration';
 import { createConfiguration } from '../configuration/createConfiguration';
 import type { MethodContract } from '../contracts/methodContract';
+import type { Row, Transaction, TransactionResult } from '../contracts/table';
 import { createOperations } from './createOperations';
-import type { OperationEffect, OperationEvent, PeerVm, PlainCall } from './operationMessage';
+import type {
+  CallFailure,
+  OperationEffect,
+  OperationEvent,
+  PeerVm,
+  PlainCall,
+} from './operationMessage';
 import type { OperationsOptions, OperationsState } from './operationsState';
 import { reduceOperations } from './reduceOperations';
 
@@ -145,3 +152,95 @@
     ...fields,
   };
 }
+
+/** A call received. */
+export function receive(fields: Partial<PlainCall> = {}): TimelessEvent {
+  return { type: 'call-received', call: createCall(fields) };
+}
+
+/** A backend server's answer; its body names the dispatch. */
+export function answerBackend(dispatch: string, status = 200, notRun = false): TimelessEvent {
+  const answer = { status, contentType: 'text/plain', body: `run ${dispatch}` };
+  return { type: 'backend-answered', dispatch, answer, notRun };
+}
+
+/** A call to a backend server that failed. */
+export function failBackend(dispatch: string, failure: CallFailure): TimelessEvent {
+  return { type: 'backend-failed', dispatch, failure, detail: failure };
+}
+
+/** The outcomes of all answers, in order; the body of those that were answered. */
+export function getOutcomes(effects: readonly OperationEffect[]): readonly string[] {
+  return pick(effects, 'answer').map(({ result }) =>
+    result.type === 'answered' ? result.answer.body : result.refusal.outcome,
+  );
+}
+
+/** The reasons of all answers, in order. */
+export function getReasons(effects: readonly OperationEffect[]): readonly string[] {
+  return pick(effects, 'answer').map(({ result }) =>
+    result.type === 'answered' ? 'answered' : result.refusal.reason,
+  );
+}
+
+/** A table in memory that answers at once. */
+export interface FixtureTable {
+  readonly rows: Map<string, Row>;
+  /** Carries all table effects out, and what follows from them, and gives every effect. */
+  readonly serve: (
+    driver: Driver,
+    effects: readonly OperationEffect[],
+  ) => readonly OperationEffect[];
+}
+
+/** Starts an empty table; two drivers may share it. */
+export function createFixtureTable(): FixtureTable {
+  const rows = new Map<string, Row>();
+  return {
+    rows,
+    serve: (driver, effects) => {
+      const all = [...effects];
+      for (const effect of all) {
+        const event = answerTable(rows, effect);
+        if (event !== undefined) all.push(...driver.feed(event));
+      }
+      return all;
+    },
+  };
+}
+
+function answerTable(rows: Map<string, Row>, effect: OperationEffect): TimelessEvent | undefined {
+  if (effect.type === 'transact') {
+    const { call, transaction } = effect;
+    return { type: 'transacted', call, result: transact(rows, transaction) };
+  }
+  if (effect.type === 'read-rows') {
+    const found = effect.keys.flatMap((key) => rows.get(`${effect.table} ${key}`) ?? []);
+    return { type: 'rows-read', call: effect.call, result: { type: 'rows', rows: found } };
+  }
+  if (effect.type !== 'read-range') return undefined;
+  const { table, from, to = '\uffff', limit } = effect.range;
+  const found = [...rows.values()]
+    .filter((row) => row.table === table && row.key >= from && row.key < to)
+    .sort((left, right) => (left.key < right.key ? -1 : 1));
+  const result = { type: 'rows', rows: found.slice(0, limit) } as const;
+  return { type: 'rows-read', call: effect.call, result };
+}
+
+function transact(rows: Map<string, Row>, transaction: Transaction): TransactionResult {
+  const failed = transaction.conditions.filter(
+    ({ table, key, version }) => (rows.get(`${table} ${key}`)?.version ?? 0) !== version,
+  );
+  if (failed.length > 0) {
+    const found = failed.flatMap(({ table, key }) => rows.get(`${table} ${key}`) ?? []);
+    return { type: 'conflict', rows: found };
+  }
+  const versions = transaction.writes.map(({ table, key, value }) => {
+    const name = `${table} ${key}`;
+    const version = (rows.get(name)?.version ?? 0) + 1;
+    if (value === undefined) rows.delete(name);
+    else rows.set(name, { table, key, value, version });
+    return value === undefined ? 0 : version;
+  });
+  return { type: 'committed', versions };
+}
--- a/src/operations/operationsState.ts
+++ b/src/operations/operationsState.ts
@@ -3,7 +3,7 @@
  * calls forwarded to other VMs, and what is still to be written to the table.
  */
 
-import type { List, Map, OrderedMap } from 'immutable';
+import type { List, Map } from 'immutable';
 import type { BackendServerId } from '../backendServers/backendServer';
 import type { Configuration } from '../configuration/configuration';
 import type { MethodContract } from '../contracts/methodContract';
@@ -62,6 +62,8 @@
   readonly result: CallResult;
   readonly finishedAtMs: number;
   readonly bytes: number;
+  /** Refused before any dispatch: kept only so that a late copy is refused as well. */
+  readonly isShut: boolean;
 }
 
 /** What one ticket's numbers have come to. */
@@ -124,30 +126,42 @@
 
 /** One pass over the rows of a home that is gone; all calls for that home share it. */
 export interface Scan {
-  readonly prefix: string;
   readonly calls: readonly CallId[];
+  /** Calls that came while the pass was running; the next one is for them. */
+  readonly next: readonly CallId[];
   readonly pages: number;
 }
 
 /** A caller's own key that is being claimed. */
 export interface Claim {
   readonly key: OperationKey;
+  /** Unique to this claim; tells its row from another's. */
   readonly token: string;
   readonly call: PlainCall;
-  readonly contract: MethodContract;
   readonly waiters: readonly CallId[];
   readonly tries: number;
-  /** Version that the pending insert asks for. */
-  readonly expects: number;
+  /** Whether an insert may have taken effect unseen. */
+  readonly isAmbiguous: boolean;
 }
 
 /** A claim that was never dispatched and is to be released. */
 export interface Release {
   readonly key: OperationKey;
   readonly token: string;
+  readonly fingerprint: string;
   readonly tries: number;
 }
 
+/** What an answer of the table is for. */
+export type TableCall =
+  | { readonly type: 'record' }
+  | { readonly type: 'scan'; readonly prefix: string }
+  | { readonly type: 'outcome-row'; readonly call: CallId }
+  | { readonly type: 'claim'; readonly key: OperationKey }
+  | { readonly type: 'claim-read'; readonly key: OperationKey }
+  | { readonly type: 'release'; readonly key: OperationKey }
+  | { readonly type: 'release-read'; readonly key: OperationKey };
+
 /** Retry budget and pace of one service. */
 export interface LookupPace {
   readonly budget: number;
@@ -155,14 +169,18 @@
   readonly quantileMs: number;
 }
 
-/** A batch of results on its way to the table. */
+/** A batch of results on its way to the table; a retry writes the same rows again. */
 export interface RecordBatch {
-  readonly call: CallId;
-  readonly results: number;
   readonly writes: readonly RowWrite[];
   readonly tries: number;
 }
 
+/** A row of results in the table. */
+export interface Chunk {
+  readonly key: string;
+  readonly writtenAtMs: number;
+}
+
 export interface OperationsState {
   readonly options: Required<OperationsOptions>;
   readonly configuration: Configuration;
@@ -184,6 +202,8 @@
   readonly remembered: Map<OperationKey, RememberedOperation>;
   /** Remembered operations in the order in which they finished. */
   readonly finished: List<OperationKey>;
+  /** Remembered numbers that were shut by a refusal, in order; they are forgotten first. */
+  readonly shut: List<OperationKey>;
   readonly rememberedBytes: number;
   readonly dispatches: Map<CallId, Dispatch>;
   readonly lookups: Map<CallId, Lookup>;
@@ -191,11 +211,16 @@
   readonly forwards: Map<CallId, PlainCall>;
   readonly resolutions: Map<CallId, Resolution>;
   readonly scans: Map<string, Scan>;
+  readonly tableCalls: Map<CallId, TableCall>;
   readonly claims: Map<OperationKey, Claim>;
-  readonly releases: OrderedMap<OperationKey, Release>;
+  readonly releases: Map<OperationKey, Release>;
   /** Results that are not in the table yet, in the order in which they finished. */
   readonly unrecorded: List<OperationKey>;
   readonly batch: RecordBatch | undefined;
   readonly nextChunk: number;
+  /** Rows of results that this VM wrote and has not deleted yet, oldest first. */
+  readonly chunks: List<Chunk>;
+  /** Pause that the last batch earned, milliseconds. */
+  readonly recordPauseMs: number;
   readonly isRecordTimerSet: boolean;
 }
--- /dev/null
+++ b/src/operations/readRelease.ts
@@ -0,0 +1,13 @@
+/** Reads the row of a key that is being released. */
+
+import { callTable } from './callTable';
+import { CLAIM_TABLE } from './operationLimits';
+import type { OperationKey, OperationsState } from './operationsState';
+import { step, type OperationsStep } from './step';
+
+/** Asks for the row, to see what the last try has come to. */
+export function readRelease(state: OperationsState, key: OperationKey): OperationsStep {
+  if (!state.releases.has(key)) return step(state);
+  const request = { type: 'read-rows', table: CLAIM_TABLE, keys: [key] } as const;
+  return callTable(state, { type: 'release-read', key }, request);
+}
--- a/src/operations/receiveTicketed.ts
+++ b/src/operations/receiveTicketed.ts
@@ -31,8 +31,8 @@
   const home = state.vms.find(
     (peer) => peer.id === ticket.vm && peer.incarnation === ticket.incarnation,
   );
-  if (home === undefined || call.forwardedBy !== undefined) {
-    return resolveOutcome(state, call, 'home-gone', at);
+  if (home === undefined || home.id === vm || call.forwardedBy !== undefined) {
+    return resolveOutcome(state, call, 'home-gone');
   }
   const next = { ...state, forwards: state.forwards.set(call.call, call) };
   return step(next, { type: 'forward', vm: home, call });
@@ -49,7 +49,7 @@
   const joined = joinOperation(state, key, call);
   if (joined !== undefined) return joined;
   const { serial } = id.ticket;
-  if (isForgotten(state, serial, id.sequence)) return resolveOutcome(state, call, 'forgotten', at);
+  if (isForgotten(state, serial, id.sequence)) return resolveOutcome(state, call, 'forgotten');
   const origin = { type: 'ticket', serial, sequence: id.sequence } as const;
   const operation = { key, origin, call, waiters: [call.call] };
   if (call.asksOutcome === true) return refuseOperation(state, operation, neverReceived, at);
--- /dev/null
+++ b/src/operations/recordAgain.ts
@@ -0,0 +1,13 @@
+/** Another try of a batch of results. */
+
+import { callTable } from './callTable';
+import type { OperationsState } from './operationsState';
+import { step, type OperationsStep } from './step';
+
+/** Sends the batch's rows once more. */
+export function recordAgain(state: OperationsState): OperationsStep {
+  const { batch } = state;
+  if (batch === undefined) return step(state);
+  const transaction = { conditions: [], writes: batch.writes };
+  return callTable(state, { type: 'record' }, { type: 'transact', transaction });
+}
--- a/src/operations/reduceOperations.test.ts
+++ b/src/operations/reduceOperations.test.ts
@@ -1,50 +1,22 @@
-import type { OperationEffect } from './operationMessage';
+import type { OperationEffect, PlainCall } from './operationMessage';
 import {
-  createCall,
+  answerBackend,
+  failBackend,
+  getOutcomes,
+  getReasons,
   pick,
+  receive,
   startDriver,
   type Driver,
   type TimelessEvent,
 } from './operationsFixture';
 
-const receive = (fields: Parameters<typeof createCall>[0] = {}): TimelessEvent => ({
-  type: 'call-received',
-  call: createCall(fields),
-});
-
-const answered = (dispatch: string, status = 200, notRun = false): TimelessEvent => ({
-  type: 'backend-answered',
-  dispatch,
-  answer: { status, contentType: 'text/plain', body: `run ${dispatch}` },
-  notRun,
-});
-
-const failed = (dispatch: string, failure: 'unreachable' | 'reset' | 'timeout'): TimelessEvent => ({
-  type: 'backend-failed',
-  dispatch,
-  failure,
-  detail: failure,
-});
-
 function getDispatch(effects: readonly OperationEffect[]): string {
   return pick(effects, 'call-backend')[0]?.dispatch ?? 'none';
 }
 
-/** The outcomes of all answers, in order. */
-function getOutcomes(effects: readonly OperationEffect[]): readonly string[] {
-  return pick(effects, 'answer').map(({ result }) =>
-    result.type === 'answered' ? result.answer.body : result.refusal.outcome,
-  );
-}
-
-function getReasons(effects: readonly OperationEffect[]): readonly string[] {
-  return pick(effects, 'answer').map(({ result }) =>
-    result.type === 'answered' ? 'answered' : result.refusal.reason,
-  );
-}
-
 /** Sends one operation and gives its first dispatch. */
-function sendOne(driver: Driver, fields: Parameters<typeof createCall>[0] = {}): string {
+function sendOne(driver: Driver, fields: Partial<PlainCall> = {}): string {
   const operation = `${driver.takeTicket()}/1`;
   return getDispatch(driver.feed(receive({ operation, ...fields })));
 }
@@ -57,7 +29,7 @@
     const joined = driver.feed(receive({ operation, call: 'c2' }));
     expect(pick(first, 'call-backend')).toHaveLength(1);
     expect(joined).toEqual([]);
-    const done = driver.feed(answered(getDispatch(first)));
+    const done = driver.feed(answerBackend(getDispatch(first)));
     expect(getOutcomes(done)).toEqual(['run d1', 'run d1']);
     const repeat = driver.feed(receive({ operation, call: 'c3' }));
     expect(pick(repeat, 'call-backend')).toEqual([]);
@@ -65,13 +37,13 @@
   });
 
   it.each([
-    ['refused connection', failed('d1', 'unreachable'), 'not-run'],
-    ['reset', failed('d1', 'reset'), 'unknown'],
-    ['timeout', failed('d1', 'timeout'), 'unknown'],
-    ['503 with proof', answered('d1', 503, true), 'not-run'],
-    ['503 without proof', answered('d1', 503), 'unknown'],
-    ['500', answered('d1', 500), 'unknown'],
-    ['409', answered('d1', 409), 'run d1'],
+    ['refused connection', failBackend('d1', 'unreachable'), 'not-run'],
+    ['reset', failBackend('d1', 'reset'), 'unknown'],
+    ['timeout', failBackend('d1', 'timeout'), 'unknown'],
+    ['503 with proof', answerBackend('d1', 503, true), 'not-run'],
+    ['503 without proof', answerBackend('d1', 503), 'unknown'],
+    ['500', answerBackend('d1', 500), 'unknown'],
+    ['409', answerBackend('d1', 409), 'run d1'],
   ])('ends an operation truly after %s', (_, end, outcome) => {
     const driver = startDriver();
     expect(sendOne(driver)).toBe('d1');
@@ -83,7 +55,7 @@
   it('never dispatches again under a number that it refused as not-run', () => {
     const driver = startDriver();
     const operation = `${driver.takeTicket()}/1`;
-    driver.feed(receive({ operation }), failed('d1', 'unreachable'));
+    driver.feed(receive({ operation }), failBackend('d1', 'unreachable'));
     const late = driver.feed(receive({ operation, call: 'c2' }));
     expect(pick(late, 'call-backend')).toEqual([]);
     expect(getOutcomes(late)).toEqual(['not-run']);
@@ -96,22 +68,22 @@
     const driver = startDriver();
     const operation = `${driver.takeTicket()}/1`;
     const sent = pick(driver.feed(receive({ operation, ...fields })), 'call-backend');
-    const waits = pick(driver.feed(failed('d1', 'reset')), 'set-timer');
+    const waits = pick(driver.feed(failBackend('d1', 'reset')), 'set-timer');
     const timer = waits.find((wait) => wait.timer.startsWith('settle'))?.timer ?? '';
     const tries = pick(driver.feed({ type: 'timer-fired', timer }), 'call-backend');
     expect(tries).toMatchObject([{ server: sent[0]?.server, method }]);
     expect(tries[0]?.path).toMatch(path);
-    expect(getOutcomes(driver.feed(answered('d2')))).toEqual(['run d2']);
+    expect(getOutcomes(driver.feed(answerBackend('d2')))).toEqual(['run d2']);
   });
 
   it.each([
-    ['a repeat that did not run', '/bookings', answered('d2', 503, true)],
-    ['a repeat that could not connect', '/bookings', failed('d2', 'unreachable')],
-    ['a status look-up that knows nothing', '/holds', answered('d2', 404)],
+    ['a repeat that did not run', '/bookings', answerBackend('d2', 503, true)],
+    ['a repeat that could not connect', '/bookings', failBackend('d2', 'unreachable')],
+    ['a status look-up that knows nothing', '/holds', answerBackend('d2', 404)],
   ])('does not take %s as proof that the first one did not', (_, path, end) => {
     const driver = startDriver();
     const operation = `${driver.takeTicket()}/1`;
-    driver.feed(receive({ operation, path }), failed('d1', 'timeout'));
+    driver.feed(receive({ operation, path }), failBackend('d1', 'timeout'));
     const timer = `settle kiambu/${operation}`;
     const outcomes = ['d2', 'd3', 'd4'].flatMap((dispatch) => [
       ...driver.feed({ type: 'timer-fired', timer }),
@@ -124,10 +96,10 @@
     const driver = startDriver();
     const lookup = receive({ method: 'GET', path: '/jobs/7', body: '' });
     const first = pick(driver.feed(lookup), 'call-backend');
-    const second = pick(driver.feed(failed('d1', 'reset')), 'call-backend');
+    const second = pick(driver.feed(failBackend('d1', 'reset')), 'call-backend');
     expect(second).toHaveLength(1);
     expect(second[0]?.server).not.toBe(first[0]?.server);
-    expect(getOutcomes(driver.feed(answered('d2')))).toEqual(['run d2']);
+    expect(getOutcomes(driver.feed(answerBackend('d2')))).toEqual(['run d2']);
   });
 
   it('refuses a ticket of another workspace, a forged one and a reused id', () => {
@@ -164,7 +136,7 @@
   it('refuses new operations while it accepts nothing, and answers old ones', () => {
     const driver = startDriver();
     const ticket = driver.takeTicket();
-    driver.feed(receive({ operation: `${ticket}/1` }), answered('d1'));
+    driver.feed(receive({ operation: `${ticket}/1` }), answerBackend('d1'));
     driver.feed({ type: 'accepting-changed', isAccepting: false, reason: 'isolated' });
     const effects = driver.feed(
       receive({ operation: `${ticket}/2` }),
--- a/src/operations/reduceOperations.ts
+++ b/src/operations/reduceOperations.ts
@@ -12,7 +12,11 @@
 import type { OperationsState } from './operationsState';
 import { receiveCall } from './receiveCall';
 import { fireTimer } from './fireTimer';
-import { step } from './step';
+import { announceHandover } from './announceHandover';
+import { chain } from './chain';
+import { finishTableCall } from './finishTableCall';
+import { scheduleRecording } from './scheduleRecording';
+import { step, type OperationsStep } from './step';
 
 const handlers: Handlers<OperationsState, OperationEvent, OperationEffect> = {
   'configuration-changed': (state, { configuration }) => step({ ...state, configuration }),
@@ -46,17 +50,15 @@
   },
   'accepting-changed': (state, { isAccepting, reason }) =>
     step({ ...state, isAccepting, refusalReason: reason }),
-  'drain-started': (state) => {
-    const isDone = state.running.isEmpty() && state.unrecorded.isEmpty();
-    return step(
-      { ...state, isDraining: true },
-      ...(isDone ? [{ type: 'handed-over' } as const] : []),
-    );
-  },
+  'drain-started': (state) => scheduleRecording({ ...state, isDraining: true }),
   'timer-fired': (state, event) => fireTimer(state, event.timer, event),
-  transacted: (state) => step(state),
-  'rows-read': (state) => step(state),
+  transacted: finishTableCall,
+  'rows-read': finishTableCall,
 };
 
+const reduce = createReducer(handlers);
+
 /** Decides on one event; the only entry to this side. */
-export const reduceOperations = createReducer(handlers);
+export function reduceOperations(state: OperationsState, event: OperationEvent): OperationsStep {
+  return chain(state, (next) => reduce(next, event), announceHandover);
+}
--- a/src/operations/refuseOperation.ts
+++ b/src/operations/refuseOperation.ts
@@ -29,7 +29,9 @@
   );
   if (origin.type === 'anonymous') return chain(state, ...answers);
   if (origin.type === 'claim') {
-    return chain(state, ...answers, (next) => releaseClaim(next, key, origin, 0));
+    return chain(state, ...answers, (next) =>
+      releaseClaim(next, key, origin.token, fingerprintCall(call), origin.version),
+    );
   }
   const shut = {
     key,
@@ -37,6 +39,7 @@
     fingerprint: fingerprintCall(call),
     result: { type: 'refused', refusal } as const,
     finishedAtMs: at.atMs,
+    isShut: true,
   };
   return chain(
     state,
--- a/src/operations/resolveOutcome.ts
+++ b/src/operations/resolveOutcome.ts
@@ -1,18 +1,52 @@
-/** Finds out how an operation ended whose home can't be asked; it never runs anything. */
+/**
+ * Finds out how an operation ended whose home or claimer can't be asked: from the table, else from
+ * the status look-up of the backend servers, else it is `unknown`. Nothing is ever run here.
+ */
 
-import type { Occurrence } from '../decisions/primitive';
+import { callTable } from './callTable';
+import { countRunning } from './countRunning';
+import { findMethod } from './findMethod';
+import { isUsable } from './isUsable';
+import { nameChunks } from './nameChunks';
+import { nameOperation } from './nameOperation';
 import type { PlainCall } from './operationMessage';
-import type { OperationsState } from './operationsState';
+import { CLAIM_TABLE, MAX_STATUS_SERVERS } from './operationLimits';
+import type { OperationsState, Resolution } from './operationsState';
+import { readOperationId } from './readOperationId';
 import { refuseCall } from './refuseCall';
+import { joinScan } from './joinScan';
 import type { OperationsStep } from './step';
 
-/** Answers `unknown` with the reason. */
+/**
+ * Starts the search.
+ *
+ * @param reason why it has to be searched for; stands in the refusal where nothing is found
+ */
 export function resolveOutcome(
   state: OperationsState,
   call: PlainCall,
   reason: string,
-  at: Occurrence,
 ): OperationsStep {
-  const detail = `It may have run; not known at ${at.atMs}`;
-  return refuseCall(state, call.call, { outcome: 'unknown', reason, detail });
+  if (countRunning(state) >= state.options.maxRunning) {
+    const detail = 'It may have run; this VM has no room to find out now, ask again later';
+    return refuseCall(state, call.call, { outcome: 'unknown', reason: 'overloaded', detail });
+  }
+  const resolution = describe(state, call, reason);
+  const next = { ...state, resolutions: state.resolutions.set(call.call, resolution) };
+  const id = readOperationId(call.operation ?? '', state.options.ticketKeys);
+  if (id.type === 'ticketed') {
+    return joinScan(next, nameChunks(id.ticket.vm, id.ticket.incarnation), call.call);
+  }
+  const keys = [nameOperation(call.workspace, call.operation ?? '')];
+  const tableCall = { type: 'outcome-row', call: call.call } as const;
+  return callTable(next, tableCall, { type: 'read-rows', table: CLAIM_TABLE, keys });
+}
+
+function describe(state: OperationsState, call: PlainCall, reason: string): Resolution {
+  const found = findMethod(state.configuration, call);
+  if (found.type === 'missing') return { call, contract: undefined, servers: [], reason };
+  const { contract, service } = found;
+  if (contract.statusPath === undefined) return { call, contract, servers: [], reason };
+  const usable = service.backendServers.filter((server) => isUsable(state, server));
+  return { call, contract, servers: usable.slice(0, MAX_STATUS_SERVERS), reason };
 }
