Take operations until the answers lapse, and read a missing row as none

Cause: a draining VM refused operations while its address answers were still good, and a conflict reports a missing row with version 0, which read as unreadable. Change: new operations are refused from accepting-changed on; drain-started stops new tickets and records results at once. A row of version 0 is claimed again. servers-changed carries all servers, so it replaces what was known.

--- a/src/operations/announceHandover.ts
+++ b/src/operations/announceHandover.ts
@@ -7,6 +7,7 @@
 export function announceHandover(state: OperationsState): OperationsStep {
   const isDone =
     state.isDraining &&
+    !state.isAccepting &&
     !state.isHandedOver &&
     state.running.isEmpty() &&
     state.claims.isEmpty() &&
--- a/src/operations/beginOperation.ts
+++ b/src/operations/beginOperation.ts
@@ -114,9 +114,9 @@
   contract: MethodContract,
   lacksServer: boolean,
 ): Refusal | undefined {
-  if (!state.isAccepting || state.isDraining) {
-    const reason = state.isAccepting ? 'draining' : state.refusalReason;
-    return { outcome: 'not-run', reason, detail: 'This VM takes no new work' };
+  if (!state.isAccepting) {
+    const detail = 'This VM takes no new work';
+    return { outcome: 'not-run', reason: state.refusalReason, detail };
   }
   if (Buffer.byteLength(call.body) > contract.maxBodyBytes) {
     const detail = `The body is larger than ${contract.maxBodyBytes} bytes`;
--- a/src/operations/claimOperation.test.ts
+++ b/src/operations/claimOperation.test.ts
@@ -94,6 +94,14 @@
     expect(pick(reply(driver, again, late), 'call-backend')).toHaveLength(1);
   });
 
+  it('claims again where the row of the conflict is gone by now', () => {
+    const driver = startDriver();
+    const sent = driver.feed(receive({ operation }));
+    const missing = { ...readWritten(sent), value: '', version: 0 };
+    const again = reply(driver, sent, { type: 'conflict', rows: [missing] });
+    expect(pick(again, 'transact')[0]?.transaction.conditions).toMatchObject([{ version: 0 }]);
+  });
+
   it('releases a claim that it could not read back, and refuses repeats until then', () => {
     const driver = startDriver();
     const sent = driver.feed(receive({ operation }));
--- a/src/operations/claimOperation.ts
+++ b/src/operations/claimOperation.ts
@@ -27,7 +27,7 @@
     tries: 0,
     isAmbiguous: false,
   };
-  if (state.isAccepting && !state.isDraining) return sendClaim(state, claim, 0);
+  if (state.isAccepting) return sendClaim(state, claim, 0);
   const next = { ...state, claims: state.claims.set(key, claim) };
   const request = { type: 'read-rows', table: CLAIM_TABLE, keys: [key] } as const;
   return callTable(next, { type: 'claim-read', key }, request);
--- a/src/operations/operationMessage.ts
+++ b/src/operations/operationMessage.ts
@@ -97,7 +97,10 @@
       readonly isAccepting: boolean;
       readonly reason: string;
     } & Occurrence)
-  /** Drain: no new operations; record results; say `handed-over` when all are in the table. */
+  /**
+   * Drain: no new tickets, and results go to the table at once. Operations are taken until
+   * `accepting-changed`; `handed-over` comes when nothing runs and all results are in the table.
+   */
   | ({ readonly type: 'drain-started' } & Occurrence)
   | SharedEvent;
 
--- a/src/operations/operationsFixture.ts
+++ b/src/operations/operationsFixture.ts
@@ -232,7 +232,9 @@
     ({ table, key, version }) => (rows.get(`${table} ${key}`)?.version ?? 0) !== version,
   );
   if (failed.length > 0) {
-    const found = failed.flatMap(({ table, key }) => rows.get(`${table} ${key}`) ?? []);
+    const found = failed.map(
+      ({ table, key }) => rows.get(`${table} ${key}`) ?? { table, key, value: '', version: 0 },
+    );
     return { type: 'conflict', rows: found };
   }
   const versions = transaction.writes.map(({ table, key, value }) => {
--- a/src/operations/recordResults.test.ts
+++ b/src/operations/recordResults.test.ts
@@ -18,6 +18,7 @@
   }).flat();
 }
 
+const refusesNew = { type: 'accepting-changed', isAccepting: false, reason: 'draining' } as const;
 const fire = { type: 'timer-fired', timer: 'record' } as const;
 
 describe('recordResults', () => {
@@ -50,7 +51,7 @@
     const table = createFixtureTable();
     const driver = startDriver();
     runOperations(driver, 3);
-    const drained = driver.feed({ type: 'drain-started' });
+    const drained = driver.feed({ type: 'drain-started' }, refusesNew);
     expect(pick(drained, 'handed-over')).toEqual([]);
     const [batch] = pick(driver.feed(fire), 'transact');
     const lost = driver.feed({
@@ -69,7 +70,8 @@
     const table = createFixtureTable();
     const driver = startDriver();
     driver.feed(receive({ operation: `${driver.takeTicket()}/1` }));
-    expect(pick(driver.feed({ type: 'drain-started' }), 'handed-over')).toEqual([]);
+    const drained = driver.feed({ type: 'drain-started' }, refusesNew);
+    expect(pick(drained, 'handed-over')).toEqual([]);
     driver.feed(answerBackend('d1'));
     expect(pick(table.serve(driver, driver.feed(fire)), 'handed-over')).toHaveLength(1);
   });
--- a/src/operations/reduceOperations.ts
+++ b/src/operations/reduceOperations.ts
@@ -3,6 +3,7 @@
  * and every refusal says truly whether anything ran.
  */
 
+import { Map } from 'immutable';
 import type { Handlers } from '../decisions/decision';
 import { createReducer } from '../decisions/createReducer';
 import { finishDispatch } from './finishDispatch';
@@ -43,9 +44,7 @@
     ),
   'vms-changed': (state, { vms }) => step({ ...state, vms }),
   'servers-changed': (state, { servers }) => {
-    const health = state.health.withMutations((map) => {
-      for (const server of servers) map.set(server.server, server);
-    });
+    const health = Map(servers.map((server) => [server.server, server]));
     return step({ ...state, health });
   },
   'accepting-changed': (state, { isAccepting, reason }) =>
--- a/src/operations/takeClaimRow.ts
+++ b/src/operations/takeClaimRow.ts
@@ -23,7 +23,7 @@
   row: Row | undefined,
   at: Occurrence,
 ): OperationsStep {
-  if (row === undefined) return claimAgain(state, claim, 0);
+  if (row === undefined || row.version === 0) return claimAgain(state, claim, 0);
   const value = parseRow(row, claimRowSchema);
   if (value === undefined) return endClaim(state, claim, resolve(claim, 'row-unreadable'));
   if (value.state === 'released') return claimAgain(state, claim, row.version);
@@ -43,9 +43,7 @@
 
 /** A missing row may still appear where an insert's reply was lost; the next insert settles it. */
 function claimAgain(state: OperationsState, claim: Claim, expects: number): OperationsStep {
-  if (!state.isAccepting || state.isDraining) {
-    return refuseClaim(state, claim, state.isDraining ? 'draining' : state.refusalReason);
-  }
+  if (!state.isAccepting) return refuseClaim(state, claim, state.refusalReason);
   if (claim.tries >= MAX_CLAIM_TRIES) return refuseClaim(state, claim, 'store-unavailable');
   return sendClaim(state, claim, expects);
 }
