Settle writes of unknown result, and prove confirm and audit under faults

Cause: a write whose reply was lost, or that took effect after it was sent again, had no test; a doubtful write could be answered not-run. Heads are learned from own commits, which spares a conflict for each write. One audit entry alone carries a revision.

--- a/src/plans/buildTransaction.ts
+++ b/src/plans/buildTransaction.ts
@@ -92,7 +92,9 @@
   if (write.audit.length === 0) return { conditions: [], writes: [] };
   const before = head.value.revision;
   const after = commitsRevision(write) ? before + 1 : before;
-  const bodies = write.audit.map((body) => withRevisions(body, before, after));
+  const bodies = write.audit.map((body, index) =>
+    withRevisions(body, index === 0 ? before : after, after),
+  );
   const chained = chainAudit(auditHead.value, bodies);
   return {
     conditions: [{ table: AUDIT_TABLE, key: AUDIT_HEAD_KEY, version: auditHead.version }],
--- a/src/plans/cancelPlan.ts
+++ b/src/plans/cancelPlan.ts
@@ -54,6 +54,7 @@
       audit: [body],
       purpose: { type: 'cancel-plan', call, operator, wallMs },
       races: 0,
+      isDoubtful: false,
       startedAtMs: at.atMs,
     },
     at,
--- a/src/plans/confirmPlan.test.ts
+++ b/src/plans/confirmPlan.test.ts
@@ -1,34 +1,12 @@
 import type { Plan } from './plan';
 import { confirmIntent, proposeIntent } from './testing/confirmIntent';
-import { createPlanBench, type PlanBench } from './testing/planBench';
-import { engineIntent, engineOf, serviceIntent, SITE, WORKSPACE } from './testing/siteIntents';
-
-/** A bench with a site, a workspace and one engine that holds all of model desk. */
-function prepare(count = 2): PlanBench {
-  const bench = createPlanBench({ seed: 7, count });
-  confirmIntent(bench, SITE);
-  confirmIntent(bench, WORKSPACE);
-  bench.engines.set('e1', {
-    state: {
-      model: '',
-      modelVersion: '',
-      layers: { from: 0, to: 0 },
-      role: 'idle',
-      leaving: false,
-    },
-    highest: 0,
-    running: 0,
-    isDown: false,
-    checksFencing: true,
-    skewMs: 0,
-  });
-  confirmIntent(bench, engineIntent(engineOf('e1')), 10_000);
-  return bench;
-}
+import { NO_FAULTS } from './testing/fakeTable';
+import { prepareBench } from './testing/prepareBench';
+import { serviceIntent, WORKSPACE } from './testing/siteIntents';
 
 describe('confirmPlan', () => {
   it('changes nothing before the confirm and commits with it', () => {
-    const bench = prepare();
+    const bench = prepareBench();
     const before = bench.configuration();
     const plan = proposeIntent(bench, serviceIntent('repairs'));
     expect(bench.configuration()).toEqual(before);
@@ -39,7 +17,7 @@
   });
 
   it('lets exactly one of two conflicting plans win and gives the other operator a fresh one', () => {
-    const bench = prepare();
+    const bench = prepareBench();
     const slow = proposeIntent(bench, serviceIntent('repairs', 'desk', 1300), 0);
     const fast = proposeIntent(bench, serviceIntent('repairs', 'desk', 900), 1);
     const one = bench.ask(0, { type: 'confirm-plan', plan: slow.id });
@@ -56,7 +34,7 @@
   });
 
   it('lets plans through that do not touch, although both move the head', () => {
-    const bench = prepare();
+    const bench = prepareBench();
     const repairs = proposeIntent(bench, serviceIntent('repairs'), 0);
     const quotes = proposeIntent(bench, serviceIntent('quotes'), 1);
     const one = bench.ask(0, { type: 'confirm-plan', plan: repairs.id });
@@ -65,4 +43,116 @@
     expect([one.answer?.status, other.answer?.status]).toEqual([200, 200]);
     expect(bench.configuration().service.size).toBe(2);
   });
+
+  it('commits once where the replies are lost', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    const before = bench.configuration().revision;
+    bench.table.setFaults({ ...NO_FAULTS, lostReplies: 1 });
+    const confirmed = bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(5000);
+    expect(confirmed.answer).toMatchObject({ status: 200, body: { revision: before + 1 } });
+    expect(bench.configuration().revision).toBe(before + 1);
+  });
+
+  it('commits once where requests are lost for a while', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    const before = bench.configuration().revision;
+    bench.table.setFaults({ ...NO_FAULTS, lostRequests: 1 });
+    const confirmed = bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(3000);
+    expect(confirmed.answer).toBeUndefined();
+    bench.table.setFaults(NO_FAULTS);
+    bench.run(3000);
+    expect(confirmed.answer).toMatchObject({ status: 200, body: { revision: before + 1 } });
+    expect(bench.configuration().revision).toBe(before + 1);
+  });
+
+  it('commits once where a write takes effect after its sender has sent it again', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    const before = bench.configuration().revision;
+    bench.table.setFaults({ ...NO_FAULTS, lateWrites: 1 });
+    const confirmed = bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(15_000);
+    expect(confirmed.answer).toMatchObject({ status: 200, body: { revision: before + 1 } });
+    expect(bench.configuration().revision).toBe(before + 1);
+  });
+
+  it('says not-run, truly, while the store is down', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    bench.table.setDown(true);
+    const refused = bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(5000);
+    expect(refused.answer).toMatchObject({ status: 503, body: { outcome: 'not-run' } });
+    bench.table.setDown(false);
+    bench.run(30_000);
+    expect(bench.configuration().service.size).toBe(0);
+    const confirmed = bench.ask(1, { type: 'confirm-plan', plan: plan.id });
+    bench.run(1000);
+    expect(confirmed.answer?.status).toBe(200);
+  });
+
+  it('says unknown where the store falls silent after a write, never not-run', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    bench.table.setFaults({ ...NO_FAULTS, lostReplies: 1 });
+    const confirmed = bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    for (let waited = 0; bench.configuration().service.size === 0; waited += 1) {
+      expect(waited).toBeLessThan(1000);
+      bench.run(1);
+    }
+    bench.table.setDown(true);
+    bench.run(30_000);
+    expect(confirmed.answer).toMatchObject({ status: 504, body: { outcome: 'unknown' } });
+    bench.table.setDown(false);
+    const shown = bench.ask(1, { type: 'show-plan', plan: plan.id });
+    bench.run(1000);
+    expect(shown.answer).toMatchObject({ status: 200, body: { status: 'done' } });
+  });
+
+  it('takes a plan that was left lying where what changed does not matter to it', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    if (WORKSPACE.type !== 'put-workspace') throw new Error('no workspace');
+    confirmIntent(bench, { ...WORKSPACE, workspace: { ...WORKSPACE.workspace, share: 5 } });
+    confirmIntent(bench, serviceIntent('quotes'));
+    bench.run(3_600_000);
+    const confirmed = bench.ask(1, { type: 'confirm-plan', plan: plan.id });
+    bench.run(1000);
+    expect(confirmed.answer?.status).toBe(200);
+  });
+
+  it('refuses a plan that was left lying where what it read has changed', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    confirmIntent(bench, serviceIntent('repairs', 'desk', 500));
+    const confirmed = bench.ask(1, { type: 'confirm-plan', plan: plan.id });
+    bench.run(1000);
+    expect(confirmed.answer).toMatchObject({
+      status: 409,
+      body: { failed: ['service kiambu/repairs has changed since the plan was made'] },
+    });
+  });
+
+  it('confirms a plan once, and says who did', () => {
+    const bench = prepareBench();
+    const plan = confirmIntent(bench, serviceIntent('repairs'));
+    const again = bench.ask(1, { type: 'confirm-plan', plan: plan.id });
+    bench.run(1000);
+    const detail = `Plan ${plan.id} is done (confirmed by amina)`;
+    expect(again.answer).toMatchObject({ status: 409, body: { detail } });
+  });
+
+  it('confirms for operators with the role alone', () => {
+    const bench = prepareBench();
+    const plan = proposeIntent(bench, serviceIntent('repairs'));
+    const by = { name: 'brian', role: 'plan' } as const;
+    const refused = bench.ask(1, { type: 'confirm-plan', plan: plan.id }, by);
+    bench.run(1000);
+    expect(refused.answer).toMatchObject({ status: 403, body: { outcome: 'not-run' } });
+    expect(bench.configuration().service.size).toBe(0);
+  });
 });
--- a/src/plans/confirmPlan.ts
+++ b/src/plans/confirmPlan.ts
@@ -57,6 +57,7 @@
     },
     purpose: { type: 'confirm-plan', call, operator, wallMs },
     races: 0,
+    isDoubtful: false,
     startedAtMs: at.atMs,
   };
   if (isShort) return sendWrite(state, write, at);
--- a/src/plans/handleRowsRead.ts
+++ b/src/plans/handleRowsRead.ts
@@ -13,7 +13,12 @@
 import { decodePlanRecord } from './planRows';
 import type { Plans } from './planState';
 import { handleLeaseFound } from './renewLease';
-import { handleCaughtUp, handleSettled } from './sendWrite';
+import {
+  handleAuditRefreshed,
+  handleCaughtUp,
+  handleHeadRefreshed,
+  handleSettled,
+} from './sendWrite';
 import { startExecution } from './startExecution';
 
 type Step = Decision<Plans, PlanEffect>;
@@ -30,6 +35,8 @@
   settle: (state, { write, sentAtMs }, result, at) =>
     handleSettled(state, write, sentAtMs, result, at),
   'catch-up': (state, { write }, result, at) => handleCaughtUp(state, write, result, at),
+  'refresh-head': (state, { write }, result) => handleHeadRefreshed(state, write, result),
+  'refresh-audit': (state, { write }, result, at) => handleAuditRefreshed(state, write, result, at),
   'find-plan': handleFoundPlan,
   'list-plans': listPlans,
   'read-audit': handleAuditRead,
--- a/src/plans/ledgerWrite.ts
+++ b/src/plans/ledgerWrite.ts
@@ -67,7 +67,10 @@
   readonly audit: readonly AuditBody[];
   readonly commit?: LedgerCommit;
   readonly purpose: LedgerPurpose;
+  /** Times that it was sent again. */
   readonly races: number;
+  /** Whether a sending of it had an unknown result, so that it may still take effect. */
+  readonly isDoubtful: boolean;
   readonly startedAtMs: number;
 }
 
--- a/src/plans/openCall.ts
+++ b/src/plans/openCall.ts
@@ -1,6 +1,6 @@
 /** What the plans side waits for: an answer of the table or an engine, or a pause to end. */
 
-import type { RowVersion } from '../contracts/table';
+import type { RowVersion, RowWrite } from '../contracts/table';
 import type { CallId } from '../decisions/primitive';
 import type { AuditEntry, AuditHead } from './auditEntry';
 import type { LedgerWrite } from './ledgerWrite';
@@ -26,7 +26,16 @@
 
 export type OpenCall =
   /** A transaction; answered by `transacted`. */
-  | { readonly type: 'write'; readonly write: LedgerWrite; readonly sentAtMs: number }
+  | {
+      readonly type: 'write';
+      readonly write: LedgerWrite;
+      readonly sentAtMs: number;
+      /** What it writes, from which the new heads are known once it is committed. */
+      readonly rows: readonly RowWrite[];
+    }
+  /** Reads the two heads anew before a write of unknown result is sent again. */
+  | { readonly type: 'refresh-head'; readonly write: LedgerWrite }
+  | { readonly type: 'refresh-audit'; readonly write: LedgerWrite }
   /** Reads the plan's row to learn whether a write took effect. */
   | { readonly type: 'settle'; readonly write: LedgerWrite; readonly sentAtMs: number }
   /** A pause before the write is settled. */
--- a/src/plans/reducePlans.ts
+++ b/src/plans/reducePlans.ts
@@ -80,8 +80,7 @@
     event: Transacted,
   ) => Step;
 } = {
-  write: (state, { write, sentAtMs }, event) =>
-    handleTransacted(state, write, sentAtMs, event.result, event),
+  write: (state, call, event) => handleTransacted(state, call, event.result, event),
   renew: (state, call, event) => handleRenewed(state, call, event.result, event),
   'order-vm': (state, call, event) => handleVmOrdered(state, call, event),
   take: (state, { taken }, { result }) => {
--- a/src/plans/sendWrite.ts
+++ b/src/plans/sendWrite.ts
@@ -5,14 +5,15 @@
 
 import { applyRevision } from '../configuration/applyRevision';
 import type { Configuration } from '../configuration/configuration';
-import type { ReadResult, Row, TransactionResult } from '../contracts/table';
+import type { ReadResult, Row, RowVersion, RowWrite, TransactionResult } from '../contracts/table';
 import type { Decision } from '../decisions/decision';
 import type { Occurrence } from '../decisions/primitive';
-import { buildTransaction, commitsRevision, recordAfter } from './buildTransaction';
+import { buildTransaction, commitsRevision } from './buildTransaction';
 import { checkPreconditions } from './checkPreconditions';
 import { finishWrite } from './finishWrite';
 import { learnHeads } from './learnHeads';
 import type { LedgerResult, LedgerWrite } from './ledgerWrite';
+import type { OpenCall } from './openCall';
 import { openCallAs } from './openCallAs';
 import {
   ANSWER_DEADLINE_MS,
@@ -21,11 +22,19 @@
   SETTLE_RETRY_MS,
 } from './planLimits';
 import type { PlanEffect } from './planMessage';
-import { CLAIMS_TABLE, decodePlanRecord, LEASES_TABLE, PLANS_TABLE } from './planRows';
+import {
+  AUDIT_HEAD_KEY,
+  AUDIT_TABLE,
+  CLAIMS_TABLE,
+  decodePlanRecord,
+  LEASES_TABLE,
+  PLANS_TABLE,
+} from './planRows';
 import type { Plans } from './planState';
-import { CONFIGURATION_TABLE, decodeRevision, revisionKey } from './revisionRows';
+import { CONFIGURATION_TABLE, decodeRevision, HEAD_KEY, revisionKey } from './revisionRows';
 
 type Step = Decision<Plans, PlanEffect>;
+type WriteCall = Extract<OpenCall, { readonly type: 'write' }>;
 
 /** Sends a write: catches up with the head first where it commits, and checks its preconditions. */
 export function sendWrite(state: Plans, write: LedgerWrite, at: Occurrence): Step {
@@ -37,8 +46,9 @@
       return finishWrite(state, write, { type: 'preconditions-failed', failed }, at);
     }
   }
-  const opened = openCallAs(state, { type: 'write', write, sentAtMs: at.atMs });
   const transaction = buildTransaction(write, state);
+  const rows = transaction.writes;
+  const opened = openCallAs(state, { type: 'write', write, sentAtMs: at.atMs, rows });
   return {
     state: opened.state,
     effects: [{ type: 'transact', call: opened.id, transaction }],
@@ -48,32 +58,45 @@
 /** Goes on when the table has answered the transaction. */
 export function handleTransacted(
   state: Plans,
-  write: LedgerWrite,
-  sentAtMs: number,
+  { write, sentAtMs, rows }: WriteCall,
   result: TransactionResult,
   at: Occurrence,
 ): Step {
-  if (result.type === 'committed') return committed(state, write, sentAtMs, result.versions, at);
-  if (result.type === 'ambiguous') return settle(state, write, sentAtMs);
+  if (result.type === 'committed') {
+    const written = rows.map((row, index) => writtenRow(row, result.versions[index] ?? 0));
+    return committed(state, write, sentAtMs, written, at);
+  }
+  if (result.type === 'ambiguous') {
+    const doubtful = { ...write, isDoubtful: true };
+    return write.isDoubtful
+      ? settleLater(state, doubtful, sentAtMs)
+      : settle(state, doubtful, sentAtMs);
+  }
   if (result.type === 'conflict') return conflicted(state, write, result.rows, at);
+  if (write.isDoubtful) return settleLater(state, write, sentAtMs);
   return finishWrite(state, write, { type: 'unavailable', detail: result.detail }, at);
 }
 
+function writtenRow({ table, key, value }: RowWrite, version: RowVersion): Row {
+  return { table, key, value: value ?? '', version };
+}
+
 function committed(
   state: Plans,
   write: LedgerWrite,
   sentAtMs: number,
-  versions: readonly number[],
+  rows: readonly Row[],
   at: Occurrence,
 ): Step {
-  const record = recordAfter(write, state.head.value);
+  const record = decodePlanRecord(rows[0]?.value ?? '');
   const revision = commitsRevision(write) ? record.revision : 0;
-  const next = revision === 0 ? state : applyOwn(state, write, revision);
+  const learned = learnHeads(state, rows);
+  const next = revision === 0 ? learned : applyOwn(learned, write, revision);
   const result: LedgerResult = {
     type: 'committed',
     record,
-    planVersion: versions[0] ?? 0,
-    leaseVersion: write.lease === undefined ? 0 : (versions[1] ?? 0),
+    planVersion: rows[0]?.version ?? 0,
+    leaseVersion: write.lease === undefined ? 0 : (rows[1]?.version ?? 0),
     revision,
     sentAtMs,
   };
@@ -103,6 +126,12 @@
   };
 }
 
+function settleLater(state: Plans, write: LedgerWrite, sentAtMs: number): Step {
+  const opened = openCallAs(state, { type: 'settle-later', write, sentAtMs });
+  const timer = { type: 'set-timer', timer: opened.id, afterMs: SETTLE_RETRY_MS } as const;
+  return { state: opened.state, effects: [timer] };
+}
+
 /** Looks a write of unknown result up again, unless the time for an answer is over. */
 export function settleAgain(
   state: Plans,
@@ -125,16 +154,38 @@
   result: ReadResult,
   at: Occurrence,
 ): Step {
-  if (result.type === 'unavailable') {
-    const opened = openCallAs(state, { type: 'settle-later', write, sentAtMs });
-    const timer = { type: 'set-timer', timer: opened.id, afterMs: SETTLE_RETRY_MS } as const;
-    return { state: opened.state, effects: [timer] };
-  }
+  if (result.type === 'unavailable') return settleLater(state, write, sentAtMs);
   const row = result.rows.find((item) => item.key === write.record.plan.id);
   if (row !== undefined && isMarked(row, write.id)) {
     return tookEffect(state, write, row, at);
   }
-  return sendWrite(state, write, at);
+  return refreshHead(state, write);
+}
+
+/** Reads the heads anew: where replies get lost, a conflict may never show them. */
+function refreshHead(state: Plans, write: LedgerWrite): Step {
+  const opened = openCallAs(state, { type: 'refresh-head', write });
+  const read = { type: 'read-rows', call: opened.id, table: CONFIGURATION_TABLE } as const;
+  return { state: opened.state, effects: [{ ...read, keys: [HEAD_KEY] }] };
+}
+
+/** Goes on when the configuration's head was read: reads that of the audit trail. */
+export function handleHeadRefreshed(state: Plans, write: LedgerWrite, result: ReadResult): Step {
+  const learned = result.type === 'rows' ? learnHeads(state, result.rows) : state;
+  const opened = openCallAs(learned, { type: 'refresh-audit', write });
+  const read = { type: 'read-rows', call: opened.id, table: AUDIT_TABLE } as const;
+  return { state: opened.state, effects: [{ ...read, keys: [AUDIT_HEAD_KEY] }] };
+}
+
+/** Goes on when both heads were read: sends the write again. */
+export function handleAuditRefreshed(
+  state: Plans,
+  write: LedgerWrite,
+  result: ReadResult,
+  at: Occurrence,
+): Step {
+  const learned = result.type === 'rows' ? learnHeads(state, result.rows) : state;
+  return sendWrite(learned, write, at);
 }
 
 /**
@@ -170,7 +221,7 @@
   if (planRow === undefined && foreign.length === 0 && raced && write.races < MAX_HEAD_RACES) {
     return sendWrite(learned, { ...write, races: write.races + 1 }, at);
   }
-  return finishWrite(learned, write, explainConflict(rows, planRow), at);
+  return finishWrite(learned, write, explainConflict(write, rows, planRow), at);
 }
 
 /** Whether a plan's row shows that this write took effect. */
@@ -178,8 +229,16 @@
   return row.version > 0 && decodePlanRecord(row.value).markers.includes(id);
 }
 
-function explainConflict(rows: readonly Row[], planRow: Row | undefined): LedgerResult {
+/** A write of unknown result is ruled out for good only where the plan's row has moved on. */
+function explainConflict(
+  write: LedgerWrite,
+  rows: readonly Row[],
+  planRow: Row | undefined,
+): LedgerResult {
   if (planRow !== undefined) return { type: 'plan-changed', row: planRow };
+  if (write.isDoubtful && write.purpose.type !== 'advance') {
+    return { type: 'unknown', detail: 'The table did not say whether the write took effect' };
+  }
   if (rows.some((row) => row.table === LEASES_TABLE)) return { type: 'lease-lost' };
   const claims = rows.filter((row) => row.table === CLAIMS_TABLE);
   if (claims.length > 0) return { type: 'claimed', rows: claims };
--- a/src/plans/storePlan.ts
+++ b/src/plans/storePlan.ts
@@ -45,7 +45,16 @@
   const id = nextMarker(state, at);
   return sendWrite(
     state,
-    { id, record, planVersion: 0, audit: [body], purpose, races: 0, startedAtMs: at.atMs },
+    {
+      id,
+      record,
+      planVersion: 0,
+      audit: [body],
+      purpose,
+      races: 0,
+      isDoubtful: false,
+      startedAtMs: at.atMs,
+    },
     at,
   );
 }
--- /dev/null
+++ b/src/plans/verifyAudit.test.ts
@@ -0,0 +1,79 @@
+import type { AuditEntry } from './auditEntry';
+import { chainAudit } from './chainAudit';
+import { AUDIT_TABLE } from './planRows';
+import { confirmIntent } from './testing/confirmIntent';
+import { NO_FAULTS } from './testing/fakeTable';
+import type { PlanBench } from './testing/planBench';
+import { prepareBench } from './testing/prepareBench';
+import { serviceIntent } from './testing/siteIntents';
+import { verifyAudit } from './verifyAudit';
+
+const START = { sequence: 0, hash: '' };
+
+function trailOf(bench: PlanBench): readonly AuditEntry[] {
+  return [...bench.table.rows().values()]
+    .filter((row) => row.table === AUDIT_TABLE && row.key.startsWith('entry/'))
+    .map((row) => JSON.parse(row.value) as AuditEntry)
+    .sort((one, other) => one.sequence - other.sequence);
+}
+
+describe('verifyAudit', () => {
+  const body = {
+    wallMs: 1,
+    who: 'amina',
+    action: 'planned',
+    plan: 'p1',
+    services: [],
+    what: 'x',
+    why: 'y',
+    revisionBefore: 0,
+    revisionAfter: 0,
+  } as const;
+  const { entries } = chainAudit(START, [body, { ...body, what: 'z' }, body]);
+
+  it('finds a whole chain whole', () => {
+    expect(verifyAudit(START, entries)).toMatchObject({ type: 'whole', entries: 3 });
+  });
+
+  it('names the first entry that was changed, taken out or put in another place', () => {
+    const [one, two, three] = entries;
+    if (one === undefined || two === undefined || three === undefined) throw new Error('short');
+    const changed = verifyAudit(START, [one, { ...two, who: 'brian' }, three]);
+    expect(changed).toMatchObject({ type: 'broken', sequence: 2 });
+    expect(verifyAudit(START, [one, three])).toMatchObject({ type: 'broken', sequence: 2 });
+    expect(verifyAudit(START, [two, one, three])).toMatchObject({ type: 'broken', sequence: 1 });
+  });
+
+  it('has an entry for every accepted change, through lost replies and an outage', () => {
+    const bench = prepareBench();
+    bench.table.setFaults({ ...NO_FAULTS, lostReplies: 0.4, lateWrites: 0.2 });
+    confirmIntent(bench, serviceIntent('repairs'), 20_000);
+    bench.table.setDown(true);
+    bench.ask(0, { type: 'state-intent', intent: serviceIntent('lost'), reason: 'r' });
+    bench.run(5000);
+    bench.table.setDown(false);
+    confirmIntent(bench, serviceIntent('quotes'), 20_000);
+    const trail = trailOf(bench);
+    expect(verifyAudit(START, trail)).toMatchObject({ type: 'whole' });
+    const accepted = trail
+      .filter(({ revisionBefore, revisionAfter }) => revisionAfter > revisionBefore)
+      .map(({ revisionAfter }) => revisionAfter);
+    const { revision } = bench.configuration();
+    expect(accepted).toEqual(Array.from({ length: revision }, (_item, index) => index + 1));
+  });
+
+  it('is read and checked by read-audit, with its filters', () => {
+    const bench = prepareBench();
+    confirmIntent(bench, serviceIntent('repairs'));
+    const asked = bench.ask(1, {
+      type: 'read-audit',
+      service: 'kiambu/repairs',
+      limit: 10,
+      verify: true,
+    });
+    bench.run(1000);
+    const answered = asked.answer?.body as { entries: AuditEntry[]; chain: unknown };
+    expect(answered.chain).toMatchObject({ type: 'whole' });
+    expect(answered.entries.map(({ action }) => action)).toEqual(['planned', 'confirmed']);
+  });
+});
--- a/src/plans/writeAdvance.ts
+++ b/src/plans/writeAdvance.ts
@@ -52,6 +52,7 @@
     audit: auditOf(state, execution, move, isOver, at),
     purpose: { type: 'advance' },
     races: 0,
+    isDoubtful: false,
     startedAtMs: at.atMs,
   };
   const claims = { action: 'release', keys: claimKeys(record.plan) } as const;
