--- /dev/null
+++ b/src/requests/constants.ts
@@ -0,0 +1,49 @@
+/** Limits and times of the router side. */
+
+/** Requests that one VM runs at once, unless its settings say otherwise. */
+export const MAX_RUNNING = 5_000;
+
+/** Time that engines have to answer what KV cache they kept, milliseconds. */
+export const KV_LOOKUP_MS = 60;
+
+/** Attempts that one request gets at most. */
+export const MAX_ATTEMPTS = 6;
+
+/** Time after which a stream is first looked at for a stall, milliseconds. */
+export const STALL_CHECK_MS = 250;
+
+/** Least silence that counts as a stall, milliseconds. */
+export const STALL_FLOOR_MS = 250;
+
+/** Least silence before the first token that counts as a stall, milliseconds. */
+export const FIRST_TOKEN_STALL_MS = 3_000;
+
+/** Expected times to the first token after which a stream counts as stalled before it. */
+export const FIRST_TOKEN_FACTOR = 4;
+
+/** Mean deviations of the token interval by which a frame may be late. */
+export const STALL_DEVIATIONS = 8;
+
+/** Weight of the latest token interval in the moving averages of the pace. */
+export const PACE_WEIGHT = 0.125;
+
+/** Mean prompt before any request was seen, tokens. */
+export const PROMPT_TOKENS = 256;
+
+/** Mean answer before any request was seen, tokens. */
+export const ANSWER_TOKENS = 128;
+
+/** Age at which a load report counts half, milliseconds. */
+export const REPORT_HALF_LIFE_MS = 500;
+
+/** Grain in which the last token of an engine is noted, milliseconds. */
+export const SERVED_STEP_MS = 20;
+
+/** Part of each admitted request's work that may be done twice after failures. */
+export const RETRY_SHARE = 0.1;
+
+/** Requests' worth of repeated work that can be saved up. */
+export const RETRY_BURST = 100;
+
+/** Least cost of another attempt to the retry budget, as part of the request's work. */
+export const RETRY_FLOOR = 0.02;
