Let stand-in engines publish cache events, late and with gaps

Cause: the engine contract promises cache events, and the stand-in sent none, so cache hints could not be tried end to end. The unused setting modelLayers is gone.

--- a/src/node/testSite.ts
+++ b/src/node/testSite.ts
@@ -110,7 +110,6 @@
     id,
     state,
     stepMs,
-    modelLayers: MODEL.layers,
     prefillMsPerToken: 0,
     onCrash: () => undefined,
   });
--- a/standins/engine/engineSettings.ts
+++ b/standins/engine/engineSettings.ts
@@ -7,8 +7,6 @@
   readonly host?: string;
   readonly port?: number;
   readonly state: EngineState;
-  /** Layers of the whole model. */
-  readonly modelLayers: number;
   /** Most layers that its memory holds. */
   readonly maxLayers: number;
   readonly checksFencing: boolean;
@@ -24,6 +22,10 @@
   readonly exportsKv: boolean;
   /** Age of its load reports, milliseconds. */
   readonly reportLagMs: number;
+  /** Age at which cache events are seen, milliseconds. */
+  readonly cacheLagMs: number;
+  /** Every so many-th cache event is lost; 0 loses none. */
+  readonly cacheLoseEvery: number;
   /** Called when a fault asks for a crash; as a process it exits. */
   readonly onCrash: () => void;
 }
@@ -65,4 +67,6 @@
   maxStreams: 64,
   exportsKv: true,
   reportLagMs: 200,
+  cacheLagMs: 100,
+  cacheLoseEvery: 10,
 } as const;
--- a/standins/engine/startEngine.test.ts
+++ b/standins/engine/startEngine.test.ts
@@ -17,7 +17,7 @@
     role: 'mixed',
     leaving: false,
   } as const;
-  const server = await startEngine({ id, state, modelLayers: layers, stepMs: 0 });
+  const server = await startEngine({ id, state, stepMs: 0 });
   servers.push(server);
   return server;
 }
--- a/standins/engine/startEngine.ts
+++ b/standins/engine/startEngine.ts
@@ -7,8 +7,9 @@
 import { randomUUID } from 'node:crypto';
 import type { EngineOrder, StreamOrder } from '../../src/contracts/engineContract';
 import { startServer, type Answer, type Exchange, type Server } from '../http/startServer';
-import { createKvCache } from './kvCache';
+import { createCacheLog } from './createCacheLog';
 import { createOrderBook } from './createOrderBook';
+import { createKvCache } from './kvCache';
 import {
   ENGINE_DEFAULTS,
   NO_ENGINE_FAULTS,
@@ -52,6 +53,11 @@
   const incarnation = randomUUID();
   const kv = createKvCache();
   const book = createOrderBook(settings, kv.clear);
+  const cache = createCacheLog({
+    engine: settings.id,
+    lagMs: settings.cacheLagMs,
+    loseEvery: settings.cacheLoseEvery,
+  });
   const cancelled = new Set<string>();
   const log: EngineLogEntry[] = [];
   let faults = NO_ENGINE_FAULTS;
@@ -90,6 +96,7 @@
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     response.flushHeaders();
     running += 1;
+    cache.store(order.prompt);
     await runStream(host, order, (message) => {
       if (!response.destroyed) response.write(`${JSON.stringify(message)}\n`);
       return !response.destroyed;
@@ -152,7 +159,10 @@
       body: { state: book.state().leaving ? 'leaving' : 'live', incarnation },
     }),
     'GET /v1/load': readLoad,
-    'GET /v1/cache-events': () => ({ status: 200, body: { events: [] } }),
+    'GET /v1/cache-events': ({ query }) => ({
+      status: 200,
+      body: { events: cache.after(Number(query.get('after') ?? 0)) },
+    }),
     'GET /v1/state': () => ({
       status: 200,
       body: { state: book.state(), fencing: book.fencing() },
@@ -183,8 +193,8 @@
       return handle === undefined ? { status: 404 } : handle(exchange);
     },
   });
-  return started.then((running_) => {
-    server = running_;
-    return running_;
+  return started.then((opened) => {
+    server = opened;
+    return opened;
   });
 }
