--- a/src/vms/expireSuspicions.ts
+++ b/src/vms/expireSuspicions.ts
@@ -16,10 +16,14 @@
  * @param seed fresh randomness
  */
 export function expireSuspicions(fleet: Fleet, atMs: number, seed: number): FleetDecision {
-  const limit = SUSPICION_MS_PER_DOUBLING * Math.log2(fleet.membership.liveVms + 1);
-  const isDue = (member: Member): boolean =>
-    member.status === 'suspect' && atMs - member.changedAtMs >= limit;
-  const due = [...fleet.membership.members.values()].filter(isDue);
+  const { members, suspected, liveVms } = fleet.membership;
+  if (suspected.length === 0) return { state: fleet, effects: [] };
+  const limit = SUSPICION_MS_PER_DOUBLING * Math.log2(liveVms + 1);
+  const due: Member[] = [];
+  for (const id of suspected) {
+    const member = members.get(id);
+    if (member !== undefined && atMs - member.changedAtMs >= limit) due.push(member);
+  }
   if (due.length === 0) return { state: fleet, effects: [] };
   return chain(
     fleet,
--- a/src/vms/fleetConstants.ts
+++ b/src/vms/fleetConstants.ts
@@ -60,6 +60,9 @@
 /** A VM that is held for dead and still listed is forgotten after this, milliseconds. */
 export const FORGET_DEAD_MS = 3_600_000;
 
+/** Time between two looks for members to forget, milliseconds. */
+export const FORGET_PERIOD_MS = 10_000;
+
 /** Times that one change of a member is passed on, for each doubling of the fleet. */
 export const RUMOR_SENDS_PER_DOUBLING = 2;
 
--- /dev/null
+++ b/src/vms/judgeStanding.test.ts
@@ -0,0 +1,107 @@
+import { VirtualFleet } from '../../measurements/virtualFleet';
+import type { VirtualVm } from '../../measurements/virtualVm';
+
+function startFleet(nodes: number, isStoreUp = true): VirtualFleet {
+  const network = new VirtualFleet({ nodes, seed: 7 });
+  network.isStoreUp = isStoreUp;
+  network.startAll();
+  network.run(3000);
+  return network;
+}
+
+function first(network: VirtualFleet): VirtualVm {
+  const [virtual] = network.vms;
+  if (virtual === undefined) throw new Error('No VM');
+  return virtual;
+}
+
+function isolate(network: VirtualFleet, alone: VirtualVm): void {
+  network.isCut = (from, to) => from === alone || to === alone;
+}
+
+describe('judgeStanding', () => {
+  it('takes no new work in isolation, within 3 s, and takes it again afterwards', () => {
+    const network = startFleet(6);
+    const alone = first(network);
+    isolate(network, alone);
+    network.isStoreCut = (from) => from === alone;
+    network.run(3000);
+    expect(alone.fleet.standing).toMatchObject({
+      isAccepting: false,
+      reason: 'no word from the store or any peer',
+    });
+    expect(network.vms.filter(({ fleet }) => fleet.standing.isAccepting)).toHaveLength(5);
+    network.isCut = () => false;
+    network.isStoreCut = () => false;
+    network.run(3000);
+    expect(alone.fleet.standing.isAccepting).toBe(true);
+  });
+
+  it('goes on in a store outage while a peer is heard', () => {
+    const network = startFleet(3);
+    network.isStoreUp = false;
+    network.run(30_000);
+    expect(network.vms.every(({ fleet }) => fleet.standing.isAccepting)).toBe(true);
+  });
+
+  it('goes on without peers while the store is heard', () => {
+    const network = startFleet(2);
+    const alone = first(network);
+    isolate(network, alone);
+    network.run(30_000);
+    expect(alone.fleet.standing.isAccepting).toBe(true);
+  });
+
+  it('a VM that comes back from isolation takes no work before it has the revision in force', () => {
+    const network = startFleet(6);
+    const alone = first(network);
+    isolate(network, alone);
+    network.isStoreCut = (from) => from === alone;
+    network.run(4000);
+    const revision = network.commit([], network.vms[3]);
+    network.run(4000);
+    const wrong: number[] = [];
+    network.onEffect = (virtual, effect) => {
+      if (virtual !== alone || effect.type !== 'accepting-changed' || !effect.isAccepting) return;
+      if (alone.fleet.configuration.applied.revision < revision) wrong.push(network.nowMs);
+    };
+    network.isCut = () => false;
+    network.isStoreCut = () => false;
+    network.run(3000);
+    expect(wrong).toEqual([]);
+    expect(alone.fleet.standing.isAccepting).toBe(true);
+    expect(alone.fleet.configuration.applied.revision).toBe(revision);
+  });
+
+  it('starts from peers alone within 2 s while the store is down', () => {
+    const network = startFleet(6);
+    network.commit([], network.vms[1]);
+    network.run(2000);
+    network.isStoreUp = false;
+    const fresh = network.add(6, 1);
+    network.start(fresh);
+    network.run(2000);
+    expect(fresh.fleet.standing.isAccepting).toBe(true);
+    expect(fresh.fleet.configuration.applied.revision).toBe(1);
+    expect(fresh.fleet.membership.members.size).toBe(6);
+  });
+
+  it('does not start to serve with neither store nor peers', () => {
+    const network = startFleet(1, false);
+    network.run(10_000);
+    expect(first(network).fleet.standing.isAccepting).toBe(false);
+  });
+
+  it('stops when its id runs elsewhere with a higher incarnation', () => {
+    const network = startFleet(4);
+    const old = first(network);
+    const next = { ...old.vm, incarnation: old.vm.incarnation + 1 };
+    network.deliver(old, {
+      type: 'datagram-received',
+      from: next.addresses.gossip,
+      body: { v: 1, k: 'news', n: 0, e: [next.id, next.incarnation, 0, 0, 2, 0], h: 0 },
+    });
+    network.run(200);
+    expect(old.fleet.standing.isAccepting).toBe(false);
+  });
+});
--- a/src/vms/learnRecord.ts
+++ b/src/vms/learnRecord.ts
@@ -12,7 +12,7 @@
  * VM itself, and beyond the limit are left out.
  */
 export function learnRecord(fleet: Fleet, vm: Vm, atMs: number): FleetDecision {
-  const { members, rumors, introductions, liveVms } = fleet.membership;
+  const { members, suspected, rumors, introductions, liveVms } = fleet.membership;
   const known = members.get(vm.id);
   const isOld = known !== undefined && vm.incarnation <= known.vm.incarnation;
   if (vm.id === fleet.vm.id || isOld) return { state: fleet, effects: [] };
@@ -21,6 +21,7 @@
   const member: Member = isNewLife ? startLife(vm, known, atMs) : { ...known, vm };
   const state = withMembership(fleet, {
     members: members.set(vm.id, member),
+    suspected: isNewLife ? suspected.filter((id) => id !== vm.id) : suspected,
     rumors: spread(rumors, vm.id, liveVms),
     introductions: spread(introductions, vm.id, liveVms),
     isChanged: true,
--- a/src/vms/membership.ts
+++ b/src/vms/membership.ts
@@ -32,6 +32,8 @@
   readonly version: number;
   readonly probes: ImmutableMap<number, Probe>;
   readonly relays: ImmutableMap<number, RelayedProbe>;
+  /** Members under suspicion here. */
+  readonly suspected: readonly VmId[];
   /** Members whose last change is still passed on, the next ones to send first. */
   readonly rumors: readonly Rumor[];
   /** Members whose full record is still passed on. */
@@ -46,6 +48,8 @@
   /** When full records were last asked for, milliseconds. */
   readonly askedRecordsAtMs: number;
   readonly nextListAtMs: number;
+  /** When members that are long gone are next looked for, milliseconds. */
+  readonly nextForgetAtMs: number;
   /** Whether a member came, went or changed its flags since `vms-changed` last told. */
   readonly isChanged: boolean;
   /** Live VMs of the own region in the order of their ids, this one included. */
--- a/src/vms/putMember.ts
+++ b/src/vms/putMember.ts
@@ -4,6 +4,7 @@
 import type { FleetEffect } from './fleetMessage';
 import type { Member, MemberEntry } from './member';
 import { spread } from './spread';
+import type { VmId } from './vm';
 import { withMembership } from './withMembership';
 
 /**
@@ -34,12 +35,18 @@
   };
   const state = withMembership(fleet, {
     members: membership.members.set(entry.id, member),
+    suspected: hasNewStatus ? noteSuspected(membership.suspected, entry) : membership.suspected,
     rumors: spread(membership.rumors, entry.id, membership.liveVms),
     isChanged: membership.isChanged || hasNewStatus || haveOtherFlags(entry, before),
   });
   return { state, effects: hasNewStatus ? [tellStatus(member)] : [] };
 }
 
+function noteSuspected(suspected: readonly VmId[], entry: MemberEntry): readonly VmId[] {
+  const others = suspected.filter((id) => id !== entry.id);
+  return entry.status === 'suspect' ? [...others, entry.id] : others;
+}
+
 function haveOtherFlags(entry: MemberEntry, before: MemberEntry): boolean {
   return entry.isDraining !== before.isDraining || entry.isAccepting !== before.isAccepting;
 }
--- a/src/vms/reduceFleet.ts
+++ b/src/vms/reduceFleet.ts
@@ -58,7 +58,7 @@
   if (!fleet.isStarted) return reduce(fleet, event);
   return chain(
     fleet,
-    (state) => wake(state, event.atMs),
+    (state) => wake(state, event.atMs, event.seed),
     (state) => reduce(state, event),
   );
 }
--- a/src/vms/wake.ts
+++ b/src/vms/wake.ts
@@ -1,7 +1,9 @@
 /** Notices that the VM was paused, and throws away what it knew by the clock. */
 
+import { chain } from './chain';
 import type { Fleet, FleetDecision } from './fleet';
 import { PAUSE_MS } from './fleetConstants';
+import { judgeStanding } from './judgeStanding';
 import type { Member } from './member';
 import { withMembership } from './withMembership';
 
@@ -12,30 +14,39 @@
  *
  * @param fleet the state
  * @param atMs the time of the event
+ * @param seed fresh randomness
  */
-export function wake(fleet: Fleet, atMs: number): FleetDecision {
+export function wake(fleet: Fleet, atMs: number, seed: number): FleetDecision {
   const gapMs = atMs - fleet.clockMs;
   const state = { ...fleet, clockMs: Math.max(atMs, fleet.clockMs) };
   if (gapMs <= PAUSE_MS) return { state, effects: [] };
-  const { membership, standing } = state;
+  return chain(
+    doubt(state, atMs),
+    (doubting) => ({
+      state: doubting,
+      effects: [
+        { type: 'count', counter: 'pauses', by: 1 },
+        { type: 'log', level: 'warn', message: 'Was paused', fields: { gapMs: Math.round(gapMs) } },
+      ],
+    }),
+    (doubting) => judgeStanding(doubting, atMs, seed),
+  );
+}
+
+function doubt(fleet: Fleet, atMs: number): Fleet {
+  const { membership, standing, configuration } = fleet;
   const renew = (member: Member): Member =>
     member.status === 'suspect' ? { ...member, changedAtMs: atMs } : member;
-  const renewed = withMembership(state, {
+  const renewed = withMembership(fleet, {
     probes: membership.probes.clear(),
     relays: membership.relays.clear(),
     members: membership.members.map(renew),
     nextRoundAtMs: atMs,
   });
-  const doubt = { isAwake: false, wokeAtMs: atMs, firstNonce: membership.nextNonce };
+  const firstNonce = membership.nextNonce;
   return {
-    state: {
-      ...renewed,
-      standing: { ...standing, ...doubt },
-      configuration: { ...state.configuration, nextPollAtMs: atMs, isPolling: false },
-    },
-    effects: [
-      { type: 'count', counter: 'pauses', by: 1 },
-      { type: 'log', level: 'warn', message: 'Was paused', fields: { gapMs: Math.round(gapMs) } },
-    ],
+    ...renewed,
+    standing: { ...standing, isAwake: false, wokeAtMs: atMs, firstNonce },
+    configuration: { ...configuration, nextPollAtMs: atMs, isPolling: false },
   };
 }
