--- a/measurements/virtualFleet.ts
+++ b/measurements/virtualFleet.ts
@@ -100,6 +100,11 @@
     }
   }
 
+  /** The VM that has this id now. */
+  find(id: string): VirtualVm | undefined {
+    return this.byId.get(id);
+  }
+
   kill(virtual: VirtualVm): void {
     virtual.isUp = false;
   }
--- a/src/vms/handleListed.ts
+++ b/src/vms/handleListed.ts
@@ -20,7 +20,7 @@
     ...result.vms.map(
       ({ vm }) =>
         (state: Fleet) =>
-          learnRecord(state, vm, event.atMs),
+          learnRecord(state, vm, event.atMs, { isNews: false }),
     ),
     (state) => noteListing(state, result.vms),
   );
--- a/src/vms/learnRecord.ts
+++ b/src/vms/learnRecord.ts
@@ -10,8 +10,19 @@
 /**
  * Adds a VM, or replaces the record of one that started anew. Records of lives that are over, of this
  * VM itself, and beyond the limit are left out.
+ *
+ * @param fleet the state
+ * @param vm the record
+ * @param atMs now
+ * @param options whether it is news that others may lack, to be passed on; not so where it came from
+ *   the platform's list or a peer's whole membership
  */
-export function learnRecord(fleet: Fleet, vm: Vm, atMs: number): FleetDecision {
+export function learnRecord(
+  fleet: Fleet,
+  vm: Vm,
+  atMs: number,
+  { isNews = true }: { readonly isNews?: boolean } = {},
+): FleetDecision {
   const { members, suspected, rumors, introductions, liveVms } = fleet.membership;
   const known = members.get(vm.id);
   const isOld = known !== undefined && vm.incarnation <= known.vm.incarnation;
@@ -22,8 +33,8 @@
   const state = withMembership(fleet, {
     members: members.set(vm.id, member),
     suspected: isNewLife ? suspected.filter((id) => id !== vm.id) : suspected,
-    rumors: spread(rumors, vm.id, liveVms),
-    introductions: spread(introductions, vm.id, liveVms),
+    rumors: isNews ? spread(rumors, vm.id, liveVms) : rumors,
+    introductions: isNews ? spread(introductions, vm.id, liveVms) : introductions,
     isChanged: true,
   });
   return {
--- a/src/vms/sendGossip.ts
+++ b/src/vms/sendGossip.ts
@@ -143,11 +143,13 @@
   return withMembership(fleet, { cursor: (cursor + count) % ring.length });
 }
 
-/** Moves what was sent to the back, with one send less. */
+/** Counts what was sent down and sorts it in again: what was sent least goes first. */
 function rotate(rumors: readonly Rumor[], sent: number): readonly Rumor[] {
   const again = rumors
     .slice(0, sent)
     .filter((rumor) => rumor.sends > 1)
     .map((rumor) => ({ ...rumor, sends: rumor.sends - 1 }));
-  return [...rumors.slice(sent), ...again];
+  const rest = rumors.slice(sent);
+  if (rest.length === 0) return again;
+  return [...rest, ...again].sort((one, other) => other.sends - one.sends);
 }
--- a/src/vms/takeRecords.ts
+++ b/src/vms/takeRecords.ts
@@ -25,7 +25,9 @@
 ): FleetDecision {
   return chain(
     fleet,
-    ...message.f.map((tuple) => (state: Fleet) => learnRecord(state, decodeRecord(tuple), atMs)),
+    ...message.f.map(
+      (tuple) => (state: Fleet) => learnRecord(state, decodeRecord(tuple), atMs, { isNews: false }),
+    ),
     ...message.m.map((tuple) => (state: Fleet) => learnEntry(state, decodeEntry(tuple), atMs)),
   );
 }
--- a/src/vms/wake.ts
+++ b/src/vms/wake.ts
@@ -3,6 +3,7 @@
 import { chain } from './chain';
 import type { Fleet, FleetDecision } from './fleet';
 import { PAUSE_MS } from './fleetConstants';
+import { judgeServers } from './judgeServers';
 import { judgeStanding } from './judgeStanding';
 import type { Member } from './member';
 import { withMembership } from './withMembership';
@@ -30,6 +31,7 @@
       ],
     }),
     (doubting) => judgeStanding(doubting, atMs, seed),
+    (doubting) => judgeServers(doubting, atMs),
   );
 }
 
