--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -4,10 +4,12 @@
 
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { configuration } from './configuration';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
 
 const measurements: Readonly<Record<string, Measurement>> = {
+  configuration,
   membership,
 };
 
