Probe the neighbours of a suspected VM, and tell of all members in turn

Cause: when a region of 126 VMs went at once, others probed it too seldom; a VM that missed word of a remote member was not told again. Change: while a VM is suspected, each round probes four more of its failure domain; unchanged members are told of in turn across all regions; a member's new revision is passed on fewer times, since it also travels with each datagram of the member itself. Ruled out: probing other regions as often as the own one, which costs the same in quiet times.

--- a/src/vms/createFleet.ts
+++ b/src/vms/createFleet.ts
@@ -63,6 +63,7 @@
     nextForgetAtMs: 0,
     isChanged: true,
     ring: [],
+    roster: [],
     liveVms: 1,
   };
 }
--- a/src/vms/fleetConstants.ts
+++ b/src/vms/fleetConstants.ts
@@ -21,6 +21,9 @@
 /** VMs of the own region that are probed in one round. */
 export const PROBES_PER_ROUND = 2;
 
+/** VMs of a suspected one's failure domain that are probed in one round. */
+export const PROBED_NEIGHBOURS = 4;
+
 /** One round in so many also probes a VM of another region. */
 export const ROUNDS_PER_REMOTE_PROBE = 4;
 
@@ -66,6 +69,9 @@
 /** Times that one change of a member is passed on, for each doubling of the fleet. */
 export const RUMOR_SENDS_PER_DOUBLING = 2;
 
+/** Times that a member's new revision is passed on, for each doubling of the fleet. */
+export const APPLIED_SENDS_PER_DOUBLING = 0.5;
+
 /** Members that one datagram tells of. */
 export const MAX_ENTRIES_PER_DATAGRAM = 24;
 
--- a/src/vms/learnEntry.ts
+++ b/src/vms/learnEntry.ts
@@ -1,11 +1,13 @@
 /** Takes in what another VM says of a member, this one included. */
 
 import type { Fleet, FleetDecision } from './fleet';
-import { DIRECT_WORD_MS } from './fleetConstants';
+import { APPLIED_SENDS_PER_DOUBLING, DIRECT_WORD_MS } from './fleetConstants';
 import type { Member, MemberEntry } from './member';
+import type { Rumor } from './membership';
 import { outranks } from './outranks';
 import { putMember } from './putMember';
 import { spread } from './spread';
+import type { VmId } from './vm';
 import { withMembership } from './withMembership';
 
 /**
@@ -35,11 +37,17 @@
   const { members, rumors, liveVms } = fleet.membership;
   const state = withMembership(fleet, {
     members: members.set(member.id, { ...member, applied: entry.applied }),
-    rumors: spread(rumors, member.id, liveVms),
+    rumors: spreadApplied(rumors, member.id, liveVms),
   });
   return { state, effects: [] };
 }
 
+/** A member that is told of anyway, with a graver change, is not told of less often for this one. */
+function spreadApplied(rumors: readonly Rumor[], id: VmId, liveVms: number): readonly Rumor[] {
+  if (rumors.some((rumor) => rumor.id === id)) return rumors;
+  return spread(rumors, id, liveVms, APPLIED_SENDS_PER_DOUBLING);
+}
+
 function learnOfSelf(fleet: Fleet, entry: MemberEntry): FleetDecision {
   if (entry.incarnation > fleet.vm.incarnation) return supersede(fleet);
   const isAccused = entry.incarnation === fleet.vm.incarnation && entry.status !== 'alive';
--- a/src/vms/membership.ts
+++ b/src/vms/membership.ts
@@ -54,6 +54,8 @@
   readonly isChanged: boolean;
   /** Live VMs of the own region in the order of their ids, this one included. */
   readonly ring: readonly VmId[];
+  /** All members in the order of their ids, told of in turn. */
+  readonly roster: readonly VmId[];
   /** Live VMs, this one included. */
   readonly liveVms: number;
 }
--- a/src/vms/refreshViews.ts
+++ b/src/vms/refreshViews.ts
@@ -23,7 +23,12 @@
   const live = [...fleet.membership.members.values()].filter(isLive);
   const local = live.filter((member) => member.vm.region === fleet.vm.region);
   const ring = [fleet.vm.id, ...local.map((member) => member.id)].sort();
-  const state = withMembership(fleet, { isChanged: false, ring, liveVms: live.length + 1 });
+  const state = withMembership(fleet, {
+    isChanged: false,
+    ring,
+    roster: [...fleet.membership.members.keys()].sort(),
+    liveVms: live.length + 1,
+  });
   return {
     state: { ...state, servers: { ...state.servers, isStale: true } },
     effects: [
--- a/src/vms/sendGossip.ts
+++ b/src/vms/sendGossip.ts
@@ -136,11 +136,11 @@
 }
 
 function refresh(fleet: Fleet, add: (id: VmId | undefined) => boolean): Fleet {
-  const { ring, cursor } = fleet.membership;
-  if (ring.length === 0) return fleet;
-  const count = Math.min(REFRESHED_ENTRIES, ring.length);
-  for (let step = 0; step < count; step += 1) add(ring[(cursor + step) % ring.length]);
-  return withMembership(fleet, { cursor: (cursor + count) % ring.length });
+  const { roster, cursor } = fleet.membership;
+  if (roster.length === 0) return fleet;
+  const count = Math.min(REFRESHED_ENTRIES, roster.length);
+  for (let step = 0; step < count; step += 1) add(roster[(cursor + step) % roster.length]);
+  return withMembership(fleet, { cursor: (cursor + count) % roster.length });
 }
 
 /** Counts what was sent down and sorts it in again: what was sent least goes first. */
--- a/src/vms/spread.ts
+++ b/src/vms/spread.ts
@@ -10,9 +10,15 @@
  *
  * @param rumors the queue
  * @param id the member that changed
- * @param liveVms size of the fleet, which sets how often the change is sent
+ * @param liveVms size of the fleet, whose logarithm sets how often the change is sent
+ * @param sendsPerDoubling times that it is sent for each doubling of the fleet
  */
-export function spread(rumors: readonly Rumor[], id: VmId, liveVms: number): readonly Rumor[] {
-  const sends = Math.ceil(RUMOR_SENDS_PER_DOUBLING * Math.log2(liveVms + 1));
+export function spread(
+  rumors: readonly Rumor[],
+  id: VmId,
+  liveVms: number,
+  sendsPerDoubling = RUMOR_SENDS_PER_DOUBLING,
+): readonly Rumor[] {
+  const sends = Math.ceil(sendsPerDoubling * Math.log2(liveVms + 1));
   return [{ id, sends }, ...rumors.filter((rumor) => rumor.id !== id)];
 }
--- a/src/vms/startRound.ts
+++ b/src/vms/startRound.ts
@@ -1,6 +1,7 @@
 /**
  * One round of probes: a fixed number of VMs of the own region in a random order that visits each
- * once a turn, now and then one of another region and one that is held for dead.
+ * once a turn, now and then one of another region and one that is held for dead,
+ * and, while one is suspected, others of its failure domain.
  */
 
 import { createRandom } from '../random/createRandom';
@@ -8,6 +9,7 @@
 import type { Fleet, FleetDecision } from './fleet';
 import {
   LONG_PROBE_PERIOD_MS,
+  PROBED_NEIGHBOURS,
   PROBES_PER_ROUND,
   ROUNDS_PER_DEAD_PROBE,
   ROUNDS_PER_REMOTE_PROBE,
@@ -38,10 +40,11 @@
   const due = Math.max(membership.nextRoundAtMs, atMs - period) + period;
   const started = withMembership(fleet, { nextRoundAtMs: due, round: membership.round + 1 });
   const turned = takeTurn(started, seed);
-  const targets = [...turned.targets, ...pickOthers(turned.fleet, seed)];
+  const others = [...pickOthers(turned.fleet, seed), ...pickNeighbours(turned.fleet, seed)];
+  const targets = new Set([...turned.targets, ...others]);
   return chain(
     turned.fleet,
-    ...targets.map((member) => (state: Fleet) => probeMember(state, member, atMs)),
+    ...[...targets].map((member) => (state: Fleet) => probeMember(state, member, atMs)),
     (state) => callSeeds(state, atMs),
   );
 }
@@ -91,6 +94,17 @@
   return pickMembers(members.filter(isRemoteRound ? isRemote : isDead), 1, seed);
 }
 
+/** VMs of one failure domain may go together: a suspicion of one is reason to probe others of it. */
+function pickNeighbours(fleet: Fleet, seed: number): readonly Member[] {
+  const { members, suspected } = fleet.membership;
+  if (suspected.length === 0) return [];
+  const chosen = members.get(createRandom(seed).pick(suspected));
+  if (chosen === undefined) return [];
+  const isNeighbour = (member: Member): boolean =>
+    member.status === 'alive' && member.vm.failureDomain === chosen.vm.failureDomain;
+  return pickMembers([...members.values()].filter(isNeighbour), PROBED_NEIGHBOURS, seed);
+}
+
 /** Without a live peer the seeds are called each round. */
 function callSeeds(fleet: Fleet, atMs: number): FleetDecision {
   if (fleet.membership.liveVms > 1) return { state: fleet, effects: [] };
