--- a/src/vms/createFleet.ts
+++ b/src/vms/createFleet.ts
@@ -50,6 +50,7 @@
     version: 0,
     probes: ImmutableMap(),
     relays: ImmutableMap(),
+    suspected: [],
     rumors: [],
     introductions: [],
     turn: [],
@@ -59,8 +60,10 @@
     cursor: 0,
     askedRecordsAtMs: -Infinity,
     nextListAtMs: 0,
+    nextForgetAtMs: 0,
     isChanged: true,
     ring: [],
+    roster: [],
     liveVms: 1,
   };
 }
