--- a/src/adapters/handleAddresses.ts
+++ b/src/adapters/handleAddresses.ts
@@ -14,12 +14,18 @@
   const { request, response, host } = exchange;
   const call = host.createId();
   const caller = `${workspace}@${request.socket.remoteAddress ?? ''}`;
-  const answer = host.waiting.addresses.wait(call);
-  const granted = host.waiting.tickets.wait(call);
+  const { addresses: waitingForAddresses, tickets, calls } = host.waiting;
+  const answer = waitingForAddresses.wait(call);
+  // A VM that takes no new work answers the call in place of granting a ticket.
+  const granted = Promise.race([tickets.wait(call), calls.wait(call)]);
   host.send(
     { side: 'fleet', event: { type: 'addresses-asked', call, caller } },
     { side: 'operations', event: { type: 'ticket-asked', call, workspace } },
   );
   const { addresses, validForMs } = await answer;
-  sendJson(response, 200, { addresses, validForMs, ticket: await granted });
+  const ticket = await granted;
+  tickets.forget(call);
+  calls.forget(call);
+  const named = typeof ticket === 'string' ? { ticket } : {};
+  sendJson(response, 200, { addresses, validForMs, ...named });
 }
--- a/src/node/createDrain.ts
+++ b/src/node/createDrain.ts
@@ -30,13 +30,7 @@
   const finished = new Promise<void>((resolve) => {
     finish = resolve;
   });
-  const startHandOver = (): void => {
-    const { fleet, operations } = state();
-    if (fleet.standing.isAccepting || operations.isDraining) return;
-    send({ side: 'operations', event: { type: 'drain-started' } });
-  };
   const count = (): void => {
-    startHandOver();
     const toHandOver = state().operations.isHandedOver ? 0 : 1;
     const running = countWork(waiting, state()) + toHandOver;
     send({ side: 'fleet', event: { type: 'work-counted', running } });
@@ -51,7 +45,10 @@
     start: () => {
       if (counter !== undefined) return finished;
       log.write('info', 'drain started', { running: countWork(waiting, state()) });
-      send({ side: 'fleet', event: { type: 'drain-started' } });
+      send(
+        { side: 'fleet', event: { type: 'drain-started' } },
+        { side: 'operations', event: { type: 'drain-started' } },
+      );
       counter = setInterval(count, WORK_COUNT_MS);
       return finished;
     },
