--- /dev/null
+++ b/demo/checkRuns.ts
@@ -0,0 +1,58 @@
+/** Reads from the stand-ins' own logs what really ran, and holds it against what callers were told. */
+
+import type { EngineLogEntry } from '../standins/engine/startEngine';
+import type { PlainRun } from '../standins/plainService/startPlainService';
+import { callJson } from './http';
+import type { Platform, StandIn } from './startPlatform';
+
+export interface RunCheck {
+  /** Writes that ran more than once, under whatever id. */
+  readonly doubled: number;
+  /** Writes that ran although their caller was told that they had not. */
+  readonly falseNotRun: number;
+  /** Layers that ran twice for one token of one attempt. */
+  readonly doubledLayers: number;
+}
+
+/** A trailing `-N` numbers the caller's attempts at one write. */
+const ATTEMPT = /-\d+$/;
+
+/**
+ * Checks all logs that can still be read; those of a killed engine are gone.
+ *
+ * @param platform the stand-ins
+ * @param notRun paths of the writes that were refused as not run
+ */
+export async function checkRuns(
+  platform: Platform,
+  notRun: ReadonlySet<string>,
+): Promise<RunCheck> {
+  const plain = await readLogs<PlainRun>(platform.plain);
+  const writes = plain.filter(({ method }) => method === 'POST').map(({ path }) => path);
+  const layers = (await readLogs<EngineLogEntry>(platform.engines)).flatMap(listLayers);
+  return {
+    doubled: countRepeats(writes.map((path) => path.replace(ATTEMPT, ''))),
+    falseNotRun: writes.filter((path) => notRun.has(path)).length,
+    doubledLayers: countRepeats(layers),
+  };
+}
+
+async function readLogs<Run>(standIns: ReadonlyMap<string, StandIn>): Promise<readonly Run[]> {
+  const logs = await Promise.allSettled(
+    [...standIns.values()].map(({ url }) => callJson(`${url}/log`)),
+  );
+  return logs.flatMap((log) =>
+    log.status === 'fulfilled' ? (log.value.body as { readonly runs: readonly Run[] }).runs : [],
+  );
+}
+
+function listLayers({ request, attempt, position, from, to }: EngineLogEntry): readonly string[] {
+  return Array.from(
+    { length: to - from },
+    (_, at) => `${request}/${attempt}/${position}/${from + at}`,
+  );
+}
+
+function countRepeats(items: readonly string[]): number {
+  return items.length - new Set(items).size;
+}
