--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -4,9 +4,14 @@
 
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { configuration } from './configuration';
 import type { Measurement } from './measurement';
+import { membership } from './membership';
 
-const measurements: Readonly<Record<string, Measurement>> = {};
+const measurements: Readonly<Record<string, Measurement>> = {
+  configuration,
+  membership,
+};
 
 async function main(): Promise<void> {
   const argv = await yargs(hideBin(process.argv))
