Send nothing new right after a pause, and refuse truly before the first word

Change: a timer of its own shows a pause; for a second after it nothing new is sent, so that the fleet side can speak first. New work is refused until the first accepting-changed, and as not-run before the first configuration. Ruled out: waiting for accepting-changed alone, which does not come where the fleet side sees no change.

--- a/measurements/soak/planSoak.ts
+++ b/measurements/soak/planSoak.ts
@@ -18,7 +18,7 @@
 const kinds: readonly CallKind[] = ['deposit', 'booking', 'hold', 'own-key', 'once', 'lookup'];
 
 /** Results that a VM remembers: so few that it forgets, or enough. */
-const memories = [4, 200] as const;
+const memories = [4, 200, 200, 200] as const;
 
 /**
  * Draws a plan.
--- a/measurements/soak/soakCall.ts
+++ b/measurements/soak/soakCall.ts
@@ -164,10 +164,18 @@
   const reason = answer.type === 'answered' ? '' : answer.refusal.reason;
   world.trace(`${call.name} (${call.kind}) was told ${outcome} ${reason}`);
   if (outcome === 'answered' && call.isRepeated) repeat(world, call);
+  if (outcome === 'unknown' || outcome === 'not-run') dropTicket(world, call);
   const mayRetry = outcome === 'unknown' || (outcome === 'not-run' && call.kind === 'own-key');
   if (mayRetry && world.random.next() < 0.5) retry(world, call);
 }
 
+/** A caller whose home may be gone asks for a new ticket before its next call. */
+function dropTicket(world: World, call: TicketedWork): void {
+  for (const [caller, { ticket }] of world.tickets) {
+    if (call.id?.startsWith(ticket) === true) world.tickets.delete(caller);
+  }
+}
+
 /** A copy that comes late, as from a queue that was not cleared. */
 function repeat(world: World, call: TicketedWork): void {
   if (call.id === undefined) return;
--- a/src/operations/beginOperation.ts
+++ b/src/operations/beginOperation.ts
@@ -23,6 +23,7 @@
 import { refuseCall } from './refuseCall';
 import { refuseOperation } from './refuseOperation';
 import { step, type OperationsStep } from './step';
+import { whyClosed } from './whyClosed';
 
 /** An operation that has never been dispatched. */
 export interface NewOperation {
@@ -114,9 +115,10 @@
   contract: MethodContract,
   lacksServer: boolean,
 ): Refusal | undefined {
-  if (!state.isAccepting) {
+  const reason = whyClosed(state);
+  if (reason !== undefined) {
     const detail = 'This VM takes no new work';
-    return { outcome: 'not-run', reason: state.refusalReason, detail };
+    return { outcome: 'not-run', reason, detail, retryAfterMs: RETRY_AFTER_MS };
   }
   if (Buffer.byteLength(call.body) > contract.maxBodyBytes) {
     const detail = `The body is larger than ${contract.maxBodyBytes} bytes`;
--- a/src/operations/claimOperation.ts
+++ b/src/operations/claimOperation.ts
@@ -7,6 +7,7 @@
 import type { OperationKey, OperationsState } from './operationsState';
 import { sendClaim } from './sendClaim';
 import type { OperationsStep } from './step';
+import { whyClosed } from './whyClosed';
 
 /**
  * Inserts the key's row where none is. A VM that takes no new work only reads it, so that a repeat of
@@ -27,7 +28,7 @@
     tries: 0,
     isAmbiguous: false,
   };
-  if (state.isAccepting) return sendClaim(state, claim, 0);
+  if (whyClosed(state) === undefined) return sendClaim(state, claim, 0);
   const next = { ...state, claims: state.claims.set(key, claim) };
   const request = { type: 'read-rows', table: CLAIM_TABLE, keys: [key] } as const;
   return callTable(next, { type: 'claim-read', key }, request);
--- a/src/operations/createOperations.ts
+++ b/src/operations/createOperations.ts
@@ -12,7 +12,8 @@
 import type { OperationsOptions, OperationsState } from './operationsState';
 
 /**
- * Starts with nothing remembered, no configuration and no word of any backend server.
+ * Starts with nothing remembered, no configuration and no word of any backend server; new work is
+ * refused until `accepting-changed` says otherwise.
  *
  * @param options who this VM is, and the keys that sign tickets
  */
@@ -31,8 +32,10 @@
     vms: [],
     health: Map(),
     inFlight: Map(),
-    isAccepting: true,
-    refusalReason: '',
+    isAccepting: false,
+    refusalReason: 'starting',
+    tickedAtMs: undefined,
+    doubtsUntilMs: undefined,
     isDraining: false,
     isHandedOver: false,
     nextSerial: 1,
--- a/src/operations/findMethod.ts
+++ b/src/operations/findMethod.ts
@@ -5,6 +5,7 @@
 import type { MethodContract } from '../contracts/methodContract';
 import type { Refusal } from '../outcomes/outcome';
 import type { PlainService } from '../services/service';
+import { RETRY_AFTER_MS } from './operationLimits';
 import type { PlainCall } from './operationMessage';
 
 /** The service and contract of a call, or why there is none. */
@@ -14,6 +15,7 @@
 
 /** Looks the call's service, method and path up. */
 export function findMethod(configuration: Configuration, call: PlainCall): FoundMethod {
+  if (configuration.revision === 0) return { type: 'missing', refusal: noConfiguration };
   const service = configuration.service.get(`${call.workspace}/${call.service}`);
   if (service?.kind !== 'plain') {
     return missing('service-unknown', `The workspace has no plain service ${call.service}`);
@@ -25,6 +27,13 @@
   return { type: 'found', service, contract };
 }
 
+const noConfiguration: Refusal = {
+  outcome: 'not-run',
+  reason: 'no-configuration',
+  detail: 'This VM has just started and has no configuration yet',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
 function missing(reason: string, detail: string): FoundMethod {
   return { type: 'missing', refusal: { outcome: 'failed', reason, detail } };
 }
--- a/src/operations/fireTimer.ts
+++ b/src/operations/fireTimer.ts
@@ -6,12 +6,14 @@
 import { recordAgain } from './recordAgain';
 import { recordResults } from './recordResults';
 import { retryLookup } from './retryLookup';
+import { tick } from './tick';
 import { trySettling } from './trySettling';
 import { step, type OperationsStep } from './step';
 
 type TimerHandler = (state: OperationsState, name: string, at: Occurrence) => OperationsStep;
 
 const timers: Readonly<Record<string, TimerHandler>> = {
+  tick: (state, _, at) => tick(state, at.atMs),
   settle: (state, key, at) => trySettling(state, key, at.atMs),
   record: (state, _, at) => recordResults(state, at.atMs),
   'record-again': recordAgain,
--- a/src/operations/grantTicket.ts
+++ b/src/operations/grantTicket.ts
@@ -6,6 +6,7 @@
 import { refuseCall } from './refuseCall';
 import { signTicket } from './signTicket';
 import { step, type OperationsStep } from './step';
+import { whyClosed } from './whyClosed';
 
 /** Signs the next ticket with the current key; a VM that takes no new work grants none. */
 export function grantTicket(
@@ -13,8 +14,8 @@
   call: CallId,
   workspace: WorkspaceId,
 ): OperationsStep {
-  if (!state.isAccepting || state.isDraining) {
-    const reason = state.isDraining ? 'draining' : state.refusalReason;
+  const reason = state.isDraining ? 'draining' : whyClosed(state);
+  if (reason !== undefined) {
     const detail = 'This VM takes no new work';
     return refuseCall(state, call, { outcome: 'not-run', reason, detail });
   }
--- a/src/operations/isUsable.ts
+++ b/src/operations/isUsable.ts
@@ -3,8 +3,9 @@
 import type { BackendServerId } from '../backendServers/backendServer';
 import type { OperationsState } from './operationsState';
 
-/** @returns false where it is unknown, is leaving, or no fresh word of it has come */
+/** @returns false where it is unknown, is leaving, no fresh word of it has come, or this VM was paused */
 export function isUsable(state: OperationsState, server: BackendServerId): boolean {
+  if (state.doubtsUntilMs !== undefined) return false;
   const known = state.configuration.backendServer.get(server);
   if (known === undefined || known.leaving) return false;
   return state.health.get(server)?.isUsable ?? false;
--- a/src/operations/operationLimits.ts
+++ b/src/operations/operationLimits.ts
@@ -5,6 +5,15 @@
 /** Starts every ticket, and no caller's own key; its number is the version of the format. */
 export const TICKET_PREFIX = 'ct1.';
 
+/** Time between two ticks by which a pause is noticed, milliseconds. */
+export const TICK_MS = 500;
+
+/** A tick that is older than this means that the VM was paused, milliseconds. */
+export const PAUSE_MS = 1600;
+
+/** After a pause, time for the fleet side to say how things stand, milliseconds. */
+export const DOUBT_MS = MS_PER_SECOND;
+
 /** Operations and look-ups that one VM runs at once; more are refused as not-run. */
 export const MAX_RUNNING = 4_000;
 
--- a/src/operations/operationsFixture.ts
+++ b/src/operations/operationsFixture.ts
@@ -119,6 +119,7 @@
   };
   driver.feed(
     { type: 'configuration-changed', configuration: createFixtureConfiguration() },
+    { type: 'accepting-changed', isAccepting: true, reason: '' },
     { type: 'vms-changed', vms: peers },
     { type: 'servers-changed', servers: ['s1', 's2', 's3'].map(getHealthy) },
   );
--- a/src/operations/operationsState.ts
+++ b/src/operations/operationsState.ts
@@ -189,6 +189,10 @@
   readonly inFlight: Map<BackendServerId, number>;
   readonly isAccepting: boolean;
   readonly refusalReason: string;
+  /** When its own timer last fired; undefined before the first time, milliseconds. */
+  readonly tickedAtMs: number | undefined;
+  /** Set after a pause: nothing new is sent until then, milliseconds. */
+  readonly doubtsUntilMs: number | undefined;
   readonly isDraining: boolean;
   readonly isHandedOver: boolean;
   readonly nextSerial: number;
--- a/src/operations/reduceOperations.test.ts
+++ b/src/operations/reduceOperations.test.ts
@@ -1,3 +1,4 @@
+import { createConfiguration } from '../configuration/createConfiguration';
 import type { OperationEffect, PlainCall } from './operationMessage';
 import {
   answerBackend,
@@ -144,4 +145,29 @@
     );
     expect(getReasons(effects)).toEqual(['isolated', 'answered']);
   });
+
+  it('sends nothing new right after a pause, until the fleet side had time to speak', () => {
+    const driver = startDriver();
+    const ticket = driver.takeTicket();
+    driver.wait(5000);
+    const woken = driver.feed(
+      receive({ operation: `${ticket}/1` }),
+      receive({ call: 'c2', method: 'GET', path: '/jobs/7', body: '' }),
+      { type: 'ticket-asked', call: 'c3', workspace: 'kiambu' },
+    );
+    expect(getReasons(woken)).toEqual(['woke-from-pause', 'woke-from-pause', 'woke-from-pause']);
+    expect(pick(woken, 'call-backend')).toEqual([]);
+    driver.wait(1000);
+    driver.feed({ type: 'timer-fired', timer: 'tick' });
+    const later = driver.feed(receive({ operation: `${ticket}/2` }));
+    expect(pick(later, 'call-backend')).toHaveLength(1);
+  });
+
+  it('refuses as not-run before it has a configuration', () => {
+    const driver = startDriver();
+    driver.feed({ type: 'configuration-changed', configuration: createConfiguration() });
+    const effects = driver.feed(receive(), receive({ operation: 'order 17' }));
+    expect(getReasons(effects)).toEqual(['no-configuration', 'no-configuration']);
+    expect(getOutcomes(effects)).toEqual(['not-run', 'not-run']);
+  });
 });
--- a/src/operations/reduceOperations.ts
+++ b/src/operations/reduceOperations.ts
@@ -11,7 +11,9 @@
 import { grantTicket } from './grantTicket';
 import type { OperationEffect, OperationEvent } from './operationMessage';
 import type { OperationsState } from './operationsState';
+import { noticePause } from './noticePause';
 import { receiveCall } from './receiveCall';
+import { tick } from './tick';
 import { fireTimer } from './fireTimer';
 import { announceHandover } from './announceHandover';
 import { chain } from './chain';
@@ -20,7 +22,10 @@
 import { step, type OperationsStep } from './step';
 
 const handlers: Handlers<OperationsState, OperationEvent, OperationEffect> = {
-  'configuration-changed': (state, { configuration }) => step({ ...state, configuration }),
+  'configuration-changed': (state, { configuration, atMs }) => {
+    const next = { ...state, configuration };
+    return state.tickedAtMs === undefined ? tick(next, atMs) : step(next);
+  },
   'call-received': (state, event) => receiveCall(state, event.call, event),
   'backend-answered': finishDispatch,
   'backend-failed': finishDispatch,
@@ -48,7 +53,7 @@
     return step({ ...state, health });
   },
   'accepting-changed': (state, { isAccepting, reason }) =>
-    step({ ...state, isAccepting, refusalReason: reason }),
+    step({ ...state, isAccepting, refusalReason: nameReason(reason) }),
   'drain-started': (state) => scheduleRecording({ ...state, isDraining: true }),
   'timer-fired': (state, event) => fireTimer(state, event.timer, event),
   transacted: finishTableCall,
@@ -57,7 +62,17 @@
 
 const reduce = createReducer(handlers);
 
+/** A reason in words as the stable name that callers see. */
+function nameReason(reason: string): string {
+  return reason.toLowerCase().replaceAll(/[^a-z0-9]+/g, '-');
+}
+
 /** Decides on one event; the only entry to this side. */
 export function reduceOperations(state: OperationsState, event: OperationEvent): OperationsStep {
-  return chain(state, (next) => reduce(next, event), announceHandover);
+  return chain(
+    state,
+    (next) => noticePause(next, event.atMs),
+    (next) => reduce(next, event),
+    announceHandover,
+  );
 }
--- a/src/operations/startLookup.ts
+++ b/src/operations/startLookup.ts
@@ -15,6 +15,7 @@
 import { refuseCall } from './refuseCall';
 import { sendLookup } from './sendLookup';
 import { step, type OperationsStep } from './step';
+import { whyClosed } from './whyClosed';
 
 /** Sends the first try, and sets the time for a hedge. */
 export function startLookup(
@@ -70,9 +71,10 @@
   call: PlainCall,
   contract: MethodContract,
 ): Refusal | undefined {
-  if (!state.isAccepting) {
+  const reason = whyClosed(state);
+  if (reason !== undefined) {
     const detail = 'This VM takes no new work';
-    return { outcome: 'not-run', reason: state.refusalReason, detail };
+    return { outcome: 'not-run', reason, detail, retryAfterMs: RETRY_AFTER_MS };
   }
   if (Buffer.byteLength(call.body) > contract.maxBodyBytes) {
     const detail = `The body is larger than ${contract.maxBodyBytes} bytes`;
--- a/src/operations/takeClaimRow.ts
+++ b/src/operations/takeClaimRow.ts
@@ -14,6 +14,7 @@
 import { resolveOutcome } from './resolveOutcome';
 import { sendClaim } from './sendClaim';
 import { step, type OperationsStep } from './step';
+import { whyClosed } from './whyClosed';
 import { winClaim } from './winClaim';
 
 /** Dispatches where the row is this claim's own, claims a free key, or follows the other claimer. */
@@ -43,7 +44,8 @@
 
 /** A missing row may still appear where an insert's reply was lost; the next insert settles it. */
 function claimAgain(state: OperationsState, claim: Claim, expects: number): OperationsStep {
-  if (!state.isAccepting) return refuseClaim(state, claim, state.refusalReason);
+  const reason = whyClosed(state);
+  if (reason !== undefined) return refuseClaim(state, claim, reason);
   if (claim.tries >= MAX_CLAIM_TRIES) return refuseClaim(state, claim, 'store-unavailable');
   return sendClaim(state, claim, expects);
 }
