Record whole sessions as golden files

Cause: a reader has to see what a session comes to, event by event, and a change of it has to show in review. An ambiguous dispatch is refused with what happened to it (backend-reset, backend-timeout).

--- /dev/null
+++ b/golden/plans.test.ts
@@ -0,0 +1,51 @@
+import type { Plan } from '../src/plans/plan';
+import { proposeIntent } from '../src/plans/testing/confirmIntent';
+import { prepareBench } from '../src/plans/testing/prepareBench';
+import { serviceIntent } from '../src/plans/testing/siteIntents';
+import { createSession } from './createSession';
+
+interface Told {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** What an operator reads of an answer. */
+function describeAnswer(answer: Told | undefined): string {
+  const body = answer?.body as {
+    readonly reason?: string;
+    readonly outcome?: string;
+    readonly revision?: number;
+    readonly plan?: Plan;
+  };
+  const parts = [
+    `status ${String(answer?.status)}`,
+    body.revision === undefined ? '' : `revision ${body.revision}`,
+    body.reason === undefined ? '' : `${body.outcome ?? ''}: ${body.reason}`,
+    body.plan === undefined || answer?.status === 200
+      ? ''
+      : `fresh plan on revision ${body.plan.basedOn}`,
+  ];
+  return parts.filter((part) => part !== '').join(', ');
+}
+
+describe('plans golden', () => {
+  it('conflicting plans', () => {
+    const session = createSession();
+    const bench = prepareBench();
+    const slow = proposeIntent(bench, serviceIntent('repairs', 'desk', 1300), 0);
+    const fast = proposeIntent(bench, serviceIntent('repairs', 'desk', 900), 1);
+    session.say('Two operators plan the same service, each on a VM of their own');
+    for (const plan of [slow, fast]) {
+      const steps = plan.steps.map(({ type }) => type).join(', ');
+      session.say(`${plan.summary}, on revision ${plan.basedOn}: ${steps}`);
+    }
+    const one = bench.ask(0, { type: 'confirm-plan', plan: slow.id });
+    const other = bench.ask(1, { type: 'confirm-plan', plan: fast.id });
+    bench.run(2000);
+    session.say('Both confirm at the same moment');
+    session.say(`the first is told: ${describeAnswer(one.answer)}`);
+    session.say(`the second is told: ${describeAnswer(other.answer)}`);
+    session.say(`in force: revision ${bench.configuration().revision}`);
+    expect(session.text()).toMatchSnapshot();
+  });
+});
--- a/src/operations/settleOperation.ts
+++ b/src/operations/settleOperation.ts
@@ -19,7 +19,7 @@
   const { contract, settleTries, key } = running;
   const canSettle = contract.honoursIdempotencyKey || contract.statusPath !== undefined;
   if (!canSettle || settleTries >= MAX_SETTLE_TRIES) {
-    const reason = end.type === 'error' ? 'backend-error' : `backend-${end.type}`;
+    const reason = nameReason(end);
     const refusal = { outcome: 'unknown', reason, detail: end.detail } as const;
     return finishOperation(state, running, { type: 'refused', refusal }, atMs);
   }
@@ -30,3 +30,10 @@
     { type: 'set-timer', timer: `settle ${key}`, afterMs },
   );
 }
+
+type Unsettled = Parameters<typeof settleOperation>[2];
+
+function nameReason(end: Unsettled): string {
+  if (end.type === 'unknown') return `backend-${end.reason}`;
+  return end.type === 'error' ? 'backend-error' : 'backend-unsettled';
+}
