--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -7,10 +7,12 @@
 import { configuration } from './configuration';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { operations } from './operations';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   membership,
+  operations,
 };
 
 async function main(): Promise<void> {
--- a/measurements/soak/applyFault.ts
+++ b/measurements/soak/applyFault.ts
@@ -110,6 +110,12 @@
 
 function countAgain(world: World, node: SoakNode): void {
   if (!node.isUp || world.isClosing) return;
+  if (world.nowMs < node.pausedUntilMs) {
+    world.schedule(node.pausedUntilMs - world.nowMs, () => {
+      countAgain(world, node);
+    });
+    return;
+  }
   const event = { type: 'work-counted', running: countWork(node) } as const;
   deliver(world, node, { side: 'fleet', event });
   world.schedule(WORK_COUNT_MS, () => {
