--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,8 +5,11 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import type { Measurement } from './measurement';
+import { throughput } from './throughput';
 
-const measurements: Readonly<Record<string, Measurement>> = {};
+const measurements: Readonly<Record<string, Measurement>> = {
+  throughput,
+};
 
 async function main(): Promise<void> {
   const argv = await yargs(hideBin(process.argv))
--- a/src/pipelines/buildFlowProgram.ts
+++ b/src/pipelines/buildFlowProgram.ts
@@ -41,19 +41,26 @@
 /**
  * @param fleet the model and what its engines and links can do
  * @param classes the engines in classes
+ * @param cuts borders between layers at which stages may meet
+ * @param hopCost what a stage costs the objective, in tokens a second for each token a second: of two
+ *   ways that carry about as much the shorter one is taken
  * @returns the program; its variables are tokens a second, its objective is the total rate
  */
-export function buildFlowProgram(fleet: Fleet, classes: readonly EngineClass[]): FlowProgram {
+export function buildFlowProgram(
+  fleet: Fleet,
+  classes: readonly EngineClass[],
+  cuts: readonly number[],
+  hopCost: number,
+): FlowProgram {
   const constraints = new Map<string, Constraint>();
   const variables = new Map<string, Coefficients>();
   const edges = new Map<string, FlowEdge>();
-  const cuts = findCuts(fleet.model.layers, classes);
   classes.forEach((item, index) => {
     addClass(index, item, constraints, variables);
     for (const layers of partsOf(item.layers, cuts)) {
       const name = `run/${index}/${layers.from}/${layers.to}`;
       edges.set(name, { type: 'run', class: index, layers });
-      variables.set(name, runCoefficients(fleet, item, index, layers));
+      variables.set(name, runCoefficients(fleet, item, index, layers, hopCost));
     }
   });
   addMoves(fleet, cuts, classes, constraints, variables, edges);
@@ -62,15 +69,6 @@
   return { program, edges };
 }
 
-function findCuts(layers: number, classes: readonly EngineClass[]): readonly number[] {
-  const cuts = new Set([0, layers]);
-  for (const item of classes) {
-    cuts.add(item.layers.from);
-    cuts.add(Math.min(item.layers.to, layers));
-  }
-  return [...cuts].sort((a, b) => a - b);
-}
-
 function partsOf(held: LayerRange, cuts: readonly number[]): readonly LayerRange[] {
   const inside = cuts.filter((cut) => cut >= held.from && cut <= held.to);
   return inside.flatMap((from) =>
@@ -91,13 +89,12 @@
   let from = 0;
   BUSY_STEPS.forEach(({ upTo, cost }, step) => {
     const name = `busy/${index}/${step}`;
-    const tokenLayersPerSecond = (item.size * MICROS_PER_SECOND) / item.microsPerTokenLayer;
     const layers = item.layers.to - item.layers.from;
     constraints.set(name, { max: upTo - from });
     const coefficients: Coefficients = new Map([
       [`time/${index}`, -1],
       [name, 1],
-      ['rate', (-cost * tokenLayersPerSecond) / layers],
+      ['rate', (-cost * item.tokenLayersPerSecond) / layers],
     ]);
     variables.set(name, coefficients);
     from = upTo;
@@ -109,18 +106,18 @@
   item: EngineClass,
   index: number,
   layers: LayerRange,
+  hopCost: number,
 ): Coefficients {
   const { model, workload } = fleet;
   const count = layers.to - layers.from;
   const context = workload.promptTokens + workload.answerTokens / 2;
-  const microsPerToken = count * item.microsPerTokenLayer;
   const kvBytes = count * model.kvBytesPerTokenLayer * context;
   const coefficients: Coefficients = new Map([
-    [`time/${index}`, microsPerToken / (item.size * MICROS_PER_SECOND)],
+    [`time/${index}`, count / item.tokenLayersPerSecond],
     [`kv/${index}`, (kvBytes * leastCycleMicros(fleet)) / MICROS_PER_SECOND / item.kvBytes],
   ]);
-  if (layers.from === 0) coefficients.set('rate', 1);
-  else coefficients.set(`in/${layers.from}/${item.failureDomain}`, -1);
+  coefficients.set('rate', (layers.from === 0 ? 1 : 0) - hopCost);
+  if (layers.from > 0) coefficients.set(`in/${layers.from}/${item.failureDomain}`, -1);
   if (layers.to < model.layers) {
     coefficients.set(`out/${layers.to}/${item.failureDomain}`, 1);
     coefficients.set(`uplink/${index}`, activationBytesPerToken(fleet) / item.uplinkBytesPerSecond);
--- a/src/pipelines/pipeline.ts
+++ b/src/pipelines/pipeline.ts
@@ -6,6 +6,8 @@
 /** One stage of a planned path: any of these engines may run the layers. */
 export interface PlannedStage {
   readonly engines: readonly BackendServerId[];
+  /** Running sums of the engines' shares of the stage, up to 1. */
+  readonly cumulativeShares: readonly number[];
   readonly layers: LayerRange;
 }
 
--- a/src/pipelines/solveFlow.ts
+++ b/src/pipelines/solveFlow.ts
@@ -20,10 +20,17 @@
 /**
  * @param fleet the model and what its engines and links can do
  * @param classes the engines in classes
+ * @param cuts borders between layers at which stages may meet
+ * @param hopCost what a stage costs the objective
  * @returns the edges that carry tokens; none where no chain of classes holds every layer
  */
-export function solveFlow(fleet: Fleet, classes: readonly EngineClass[]): readonly EdgeFlow[] {
-  const { program, edges } = buildFlowProgram(fleet, classes);
+export function solveFlow(
+  fleet: Fleet,
+  classes: readonly EngineClass[],
+  cuts: readonly number[],
+  hopCost: number,
+): readonly EdgeFlow[] {
+  const { program, edges } = buildFlowProgram(fleet, classes, cuts, hopCost);
   const solution = solve(program, { maxPivots: MAX_PIVOTS });
   return solution.variables.flatMap(([name, tokensPerSecond]) => {
     const edge = edges.get(name);
--- a/src/requests/addressRoute.ts
+++ b/src/requests/addressRoute.ts
@@ -7,26 +7,26 @@
 /**
  * @param configuration where the addresses stand; engines that are gone from it are left out
  * @param route the stages
- * @param exports KV exports that stages may import
+ * @param kvExports KV kvExports that stages may import
  */
 export function addressRoute(
   configuration: Configuration,
   route: Route,
-  exports: readonly KvExport[] = [],
+  kvExports: readonly KvExport[] = [],
 ): readonly AddressedStage[] {
   return route.flatMap((stage) => {
     const server = configuration.backendServer.get(stage.engine);
     if (server === undefined) return [];
-    const kvImport = findExport(stage, exports);
+    const kvImport = findExport(stage, kvExports);
     const addressed = { ...stage, address: server.address };
     return [kvImport === undefined ? addressed : { ...addressed, kvImport }];
   });
 }
 
 /** The longest export that covers the stage's layers; an engine's own comes before a copy. */
-function findExport(stage: Stage, exports: readonly KvExport[]): KvExport | undefined {
+function findExport(stage: Stage, kvExports: readonly KvExport[]): KvExport | undefined {
   let best: KvExport | undefined;
-  for (const candidate of exports) {
+  for (const candidate of kvExports) {
     const covers =
       candidate.layers.from <= stage.layers.from && candidate.layers.to >= stage.layers.to;
     if (!covers || candidate.tokens <= 0) continue;
--- a/src/requests/chooseRoute.ts
+++ b/src/requests/chooseRoute.ts
@@ -67,15 +67,20 @@
 
 /** The path into whose part of the total rate the hash falls. */
 function drawPath(pipeline: Pipeline, hash: number): PlannedPath | undefined {
-  const wanted = (hash / HASHES) * pipeline.tokensPerSecond;
+  return pipeline.paths[drawIndex(pipeline.cumulativeRates, hash)];
+}
+
+/** Draws an index by running sums: the first whose sum is above the hash's part of the last. */
+function drawIndex(sums: readonly number[], hash: number): number {
+  const wanted = (hash / HASHES) * (sums.at(-1) ?? 0);
   let low = 0;
-  let high = pipeline.cumulativeRates.length - 1;
+  let high = sums.length - 1;
   while (low < high) {
     const middle = (low + high) >> 1;
-    if ((pipeline.cumulativeRates[middle] ?? Infinity) > wanted) high = middle;
+    if ((sums[middle] ?? Infinity) > wanted) high = middle;
     else low = middle + 1;
   }
-  return pipeline.paths[low];
+  return low;
 }
 
 function fillPath(
@@ -94,13 +99,15 @@
 }
 
 function pickEngine(
-  { engines }: PlannedStage,
+  { engines, cumulativeShares }: PlannedStage,
   hash: number,
   load: (engine: BackendServerId) => number,
 ): BackendServerId {
-  const first = engines[hash % engines.length] ?? '';
+  const index = drawIndex(cumulativeShares, hash);
+  const first = engines[index] ?? '';
   if (engines.length === 1) return first;
-  const offset = 1 + (Math.floor(hash / engines.length) % (engines.length - 1));
-  const second = engines[((hash % engines.length) + offset) % engines.length] ?? first;
+  const drawn = drawIndex(cumulativeShares, hash32(first, hash));
+  const other = drawn === index ? (index + 1) % engines.length : drawn;
+  const second = engines[other] ?? first;
   return load(second) < load(first) ? second : first;
 }
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -24,6 +24,9 @@
 /** Mean deviations of the token interval by which a frame may be late. */
 export const STALL_DEVIATIONS = 8;
 
+/** Allowed silences after which a stream hangs although its engines serve others. */
+export const HUNG_FACTOR = 8;
+
 /** Weight of the latest token interval in the moving averages of the pace. */
 export const PACE_WEIGHT = 0.125;
 
--- a/src/requests/findSilentStages.ts
+++ b/src/requests/findSilentStages.ts
@@ -12,8 +12,7 @@
  * @param running the request whose stream is silent
  * @param silenceMs silence that counts as a stall
  * @param atMs now
- * @returns engines of the route that were silent that long, the most silent first; the first engine
- *   where none was, as the stream itself then hangs
+ * @returns engines of the route that were silent that long, the most silent first
  */
 export function findSilentStages(
   router: Router,
@@ -24,6 +23,5 @@
   const servedAt = (engine: BackendServerId): number => router.engines.get(engine)?.servedAtMs ?? 0;
   const engines = running.route.map((stage) => stage.engine);
   const silent = engines.filter((engine) => atMs - servedAt(engine) >= silenceMs);
-  if (silent.length === 0) return engines.slice(0, 1);
   return silent.sort((a, b) => servedAt(a) - servedAt(b));
 }
--- a/src/requests/fireTimer.ts
+++ b/src/requests/fireTimer.ts
@@ -1,7 +1,9 @@
 /** Handles the router side's timers: `stall/{request}` and `kv/{request}`. */
 
+import type { BackendServerId } from '../backendServers/backendServer';
 import type { TimerFired } from '../decisions/primitive';
 import { allowedSilenceMs } from './allowedSilenceMs';
+import { HUNG_FACTOR } from './constants';
 import { findSilentStages } from './findSilentStages';
 import { recoverRequest } from './recoverRequest';
 import { reopenRequest } from './reopenRequest';
@@ -33,7 +35,11 @@
     const { timer } = event;
     return { state: router, effects: [{ type: 'set-timer', timer, afterMs: Math.ceil(leftMs) }] };
   }
-  const silent = findSilentStages(router, running, allowedMs, event.atMs);
+  const silent = findDoubted(router, running, allowedMs, event.atMs);
+  if (silent.length === 0) {
+    const { timer } = event;
+    return { state: router, effects: [{ type: 'set-timer', timer, afterMs: allowedMs }] };
+  }
   const broke = {
     reason: 'stage-stalled',
     detail: `No token for ${Math.round(allowedMs)} ms`,
@@ -48,6 +54,22 @@
   return { ...recovered, effects: [...observed, ...recovered.effects] };
 }
 
+/**
+ * The silent engines; where all bring tokens to others, this stream only waits for its turn, unless
+ * it has waited for too long: then its first engine is doubted.
+ */
+function findDoubted(
+  router: Router,
+  running: RunningRequest,
+  allowedMs: number,
+  atMs: number,
+): readonly BackendServerId[] {
+  const silent = findSilentStages(router, running, allowedMs, atMs);
+  if (silent.length > 0) return silent;
+  const isHung = atMs - running.progressAtMs > HUNG_FACTOR * allowedMs;
+  return isHung ? running.route.slice(0, 1).map((stage) => stage.engine) : [];
+}
+
 function giveUpOnKv(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
   if (running.phase !== 'finding-kv') return { state: router, effects: [] };
   return reopenRequest(router, running, [], event);
--- a/src/requests/receiveKv.ts
+++ b/src/requests/receiveKv.ts
@@ -13,16 +13,16 @@
   const running = router.requests.get(event.request);
   const isAwaited = running?.phase === 'finding-kv' && running.attempt === event.attempt;
   if (!isAwaited) return { state: router, effects: [] };
-  const exports = event.exports.filter((item) => item.request === event.request);
-  const cleared = clearDoubt(running, exports);
-  const reopened = reopenRequest(router, cleared, exports, event);
+  const kvExports = event.exports.filter((item) => item.request === event.request);
+  const cleared = clearDoubt(running, kvExports);
+  const reopened = reopenRequest(router, cleared, kvExports, event);
   const timer = `kv/${event.request}`;
   return { state: reopened.state, effects: [{ type: 'clear-timer', timer }, ...reopened.effects] };
 }
 
 /** A doubted engine that answered is cleared where another did not: that one is avoided instead. */
-function clearDoubt(running: RunningRequest, exports: readonly KvExport[]): RunningRequest {
-  const answered = new Set(exports.map((item) => item.engine));
+function clearDoubt(running: RunningRequest, kvExports: readonly KvExport[]): RunningRequest {
+  const answered = new Set(kvExports.map((item) => item.engine));
   const mute = running.doubted.filter((engine) => !answered.has(engine));
   const isTelling = mute.length > 0 && mute.length < running.doubted.length;
   if (!isTelling) return running;
--- a/src/requests/reopenRequest.ts
+++ b/src/requests/reopenRequest.ts
@@ -16,20 +16,20 @@
 /**
  * @param router the router
  * @param running the request, shut out from its last attempt
- * @param exports KV exports found on engines
+ * @param kvExports KV kvExports found on engines
  * @param at when, and randomness for the choice
  */
 export function reopenRequest(
   router: Router,
   running: RunningRequest,
-  exports: readonly KvExport[],
+  kvExports: readonly KvExport[],
   at: { readonly atMs: number; readonly seed: number },
 ): RouterDecision {
   const route = router.options.chooseRoute(router, running, at.atMs);
   if (route === undefined) {
     return end(router, running, 'no-route', 'No usable engine can take the failed stage over');
   }
-  const addressed = addressRoute(router.configuration, route, exports);
+  const addressed = addressRoute(router.configuration, route, kvExports);
   const prefix = running.request.prompt.length + running.deliveredCount;
   const rerun = countRerun(addressed, prefix, running.layers);
   const whole = running.request.prompt.length + running.request.maxTokens;
