Admit by fair share, limits and time to the first token

The running limit follows the time to the first token. Nothing queues, so every refusal is immediate and not-run.

--- a/measurements/createFleet.ts
+++ b/measurements/createFleet.ts
@@ -44,6 +44,8 @@
 
 /** Sizes of a fleet. */
 export interface FleetSize {
+  /** Time to the first token that the services promise, milliseconds. */
+  readonly firstTokenTargetMs?: number;
   readonly engines: number;
   readonly workspaces: number;
 }
@@ -85,7 +87,7 @@
           id: SERVICE,
           workspace: id,
           model: model.id,
-          firstTokenTargetMs: 1300,
+          firstTokenTargetMs: size.firstTokenTargetMs ?? 1300,
           tokenIntervalTargetMs: 200,
           maxTokens: 8192,
         },
--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,9 +5,11 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import type { Measurement } from './measurement';
+import { overload } from './overload';
 import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
+  overload,
   throughput,
 };
 
--- a/measurements/throughput.ts
+++ b/measurements/throughput.ts
@@ -23,6 +23,9 @@
 /** Streams that the callers keep running, for each engine. */
 const STREAMS_PER_ENGINE = 160;
 
+/** Target for the first token with which the callers may keep every batch full, milliseconds. */
+const PATIENT_MS = 120_000;
+
 export const throughput: Measurement = (options, print) => {
   const bound = boundThroughput(fleetOf(createFleet(options.seed, options), WORKLOAD));
   print(`bound            ${bound.toFixed(0)} tokens/s`);
@@ -60,10 +63,14 @@
     });
     bed.send(sent % options.nodes, request);
   };
-  const bed = createTestbed(createFleet(options.seed, options), {
+  const fleet = { ...options, firstTokenTargetMs: PATIENT_MS };
+  const bed = createTestbed(createFleet(options.seed, fleet), {
     vms: options.nodes,
     seed: options.seed,
-    router: chooseRoute === undefined ? {} : { chooseRoute },
+    router: {
+      startLimit: STREAMS_PER_ENGINE * options.engines,
+      ...(chooseRoute && { chooseRoute }),
+    },
     onDeliver: (_request, _frame, atMs) => {
       if (atMs > WARM_UP_MS) tokens += 1;
     },
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -1,5 +1,7 @@
 /** Limits and times of the router side. */
 
+import type { Priority } from './request';
+
 /** Requests that one VM runs at once, unless its settings say otherwise. */
 export const MAX_RUNNING = 5_000;
 
@@ -50,3 +52,49 @@
 
 /** Least cost of another attempt to the retry budget, as part of the request's work. */
 export const RETRY_FLOOR = 0.02;
+
+/** Time between two adaptations of admission, each with a digest of the own use, milliseconds. */
+export const ADAPT_MS = 250;
+
+/** Requests that run at once before anything was learned of the time to the first token. */
+export const LIMIT_START = 64;
+
+/** Least limit of requests that run at once. */
+export const LIMIT_FLOOR = 4;
+
+/** Factor of the limit while the first token comes soon enough and the limit is used. */
+export const LIMIT_RISE = 1.05;
+
+/** Factor of the limit while the first token comes late. */
+export const LIMIT_FALL = 0.9;
+
+/** Part of the target for the first token that the mean is held at. */
+export const FIRST_TOKEN_GOAL = 0.5;
+
+/** Part of the limit by which workspaces under and over their share are told apart. */
+export const SHARE_ROOM = 0.1;
+
+/** Part of the limit up to which requests of a priority are taken in. */
+export const FILL_OF_PRIORITY: Readonly<Record<Priority, number>> = {
+  interactive: 1,
+  standard: 0.9,
+  batch: 0.7,
+};
+
+/** Time after which a workspace without requests no longer counts for fair shares, milliseconds. */
+export const IDLE_WORKSPACE_MS = 10_000;
+
+/** Workspaces that one digest names at most; the busiest ones. */
+export const MAX_SHARED_WORKSPACES = 100;
+
+/** Use of a rate limit that can be saved up, milliseconds. */
+export const BUCKET_MS = 1000;
+
+/** Least time after which a refused caller may come back, milliseconds. */
+export const RETRY_AFTER_MS = 500;
+
+/** Spread of that time, so that refused callers do not come back together, milliseconds. */
+export const RETRY_JITTER_MS = 1000;
+
+/** Timer of the adaptation of admission. */
+export const ADMISSION_TIMER = 'admission';
--- a/src/requests/createRouter.ts
+++ b/src/requests/createRouter.ts
@@ -3,21 +3,30 @@
 import { Map } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
 import { chooseRoute } from './chooseRoute';
-import { ANSWER_TOKENS, MAX_RUNNING, PROMPT_TOKENS, RETRY_BURST } from './constants';
+import { ANSWER_TOKENS, LIMIT_START, MAX_RUNNING, PROMPT_TOKENS, RETRY_BURST } from './constants';
 import type { Router, RouterOptions } from './router';
 
 /**
- * @param options settings; each has a default
+ * @param given settings; each has a default
  * @returns a router that refuses every request until a configuration arrives
  */
-export function createRouter(options: Partial<RouterOptions> = {}): Router {
+export function createRouter(given: Partial<RouterOptions> = {}): Router {
+  const options = { maxRunning: MAX_RUNNING, startLimit: LIMIT_START, chooseRoute, ...given };
   return {
-    options: { maxRunning: MAX_RUNNING, chooseRoute, ...options },
+    options,
     configuration: createConfiguration(),
     health: new globalThis.Map(),
     pipelines: new globalThis.Map(),
     requests: Map(),
     engines: Map(),
+    admission: {
+      workspaces: Map(),
+      limit: options.startLimit,
+      firstTokenMs: 0,
+      firstTokens: 0,
+      firstTokenSumMs: 0,
+      adaptedAtMs: 0,
+    },
     acceptingVms: 1,
     workload: { promptTokens: PROMPT_TOKENS, answerTokens: ANSWER_TOKENS },
     retries: { credit: RETRY_BURST },
--- a/src/requests/endRequest.ts
+++ b/src/requests/endRequest.ts
@@ -1,5 +1,7 @@
 /** Ends a request: its final answer goes to the caller, and nothing more is kept of it. */
 
+import type { WorkspaceId } from '../workspaces/workspace';
+import type { Admission } from './admission';
 import { releaseRoute } from './releaseRoute';
 import type { RouterDecision, Router } from './router';
 import type { RouterEffect } from './routerMessage';
@@ -16,5 +18,14 @@
   effects: readonly RouterEffect[],
 ): RouterDecision {
   const requests = router.requests.delete(running.request.id);
-  return { state: { ...releaseRoute(router, running), requests }, effects };
+  const released = releaseRoute(router, running);
+  const admission = leaveWorkspace(router.admission, running.request.workspace);
+  return { state: { ...released, admission, requests }, effects };
+}
+
+function leaveWorkspace(admission: Admission, workspace: WorkspaceId): Admission {
+  const load = admission.workspaces.get(workspace);
+  if (load === undefined) return admission;
+  const left = { ...load, running: load.running - 1 };
+  return { ...admission, workspaces: admission.workspaces.set(workspace, left) };
 }
--- a/src/requests/fireTimer.ts
+++ b/src/requests/fireTimer.ts
@@ -1,9 +1,10 @@
-/** Handles the router side's timers: `stall/{request}` and `kv/{request}`. */
+/** Handles the router side's timers: `admission`, `stall/{request}` and `kv/{request}`. */
 
 import type { BackendServerId } from '../backendServers/backendServer';
 import type { TimerFired } from '../decisions/primitive';
 import { allowedSilenceMs } from './allowedSilenceMs';
-import { HUNG_FACTOR } from './constants';
+import { adaptAdmission } from './adaptAdmission';
+import { ADAPT_MS, ADMISSION_TIMER, HUNG_FACTOR } from './constants';
 import { findSilentStages } from './findSilentStages';
 import { recoverRequest } from './recoverRequest';
 import { reopenRequest } from './reopenRequest';
@@ -20,6 +21,7 @@
 
 /** Hands a timer to the handler of its kind; a timer of a request that ended does nothing. */
 export function fireTimer(router: Router, event: TimerFired): RouterDecision {
+  if (event.timer === ADMISSION_TIMER) return adapt(router, event.atMs);
   const split = event.timer.indexOf('/');
   const handler = handlers[event.timer.slice(0, split)];
   const running = router.requests.get(event.timer.slice(split + 1));
@@ -27,6 +29,17 @@
   return handler(router, running, event);
 }
 
+function adapt(router: Router, atMs: number): RouterDecision {
+  const { admission, uses } = adaptAdmission(router, atMs);
+  return {
+    state: { ...router, admission },
+    effects: [
+      { type: 'share-use', uses },
+      { type: 'set-timer', timer: ADMISSION_TIMER, afterMs: ADAPT_MS },
+    ],
+  };
+}
+
 function checkStall(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
   if (running.phase !== 'streaming') return { state: router, effects: [] };
   const allowedMs = allowedSilenceMs(running);
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -27,7 +27,7 @@
   const fault = checkFrame(running, event.attempt, frame);
   if (fault !== undefined) return dropFrame(router, fault);
   const next = advance(running, frame, event.atMs);
-  const served = serveRoute(router, running, event.atMs);
+  const served = noteFirst(serveRoute(router, running, event.atMs), running, event.atMs);
   const deliver: RouterEffect = { type: 'deliver', request: frame.request, frame };
   if (frame.finish !== undefined || next.deliveredCount === running.request.maxTokens) {
     return finish(served, next, deliver, frame.finish ?? 'length');
@@ -36,6 +36,15 @@
   return { state: { ...served, requests }, effects: [deliver] };
 }
 
+/** The time to the first token of a request's first attempt is what admission goes by. */
+function noteFirst(router: Router, running: RunningRequest, atMs: number): Router {
+  if (running.deliveredCount > 0) return router;
+  const { admission } = router;
+  const firstTokenSumMs = admission.firstTokenSumMs + atMs - running.openedAtMs;
+  const firstTokens = admission.firstTokens + 1;
+  return { ...router, admission: { ...admission, firstTokens, firstTokenSumMs } };
+}
+
 function dropFrame(router: Router, reason: FrameFault | 'unknown-request'): RouterDecision {
   const labels = { reason };
   const effects: readonly RouterEffect[] = [
--- a/src/requests/recoverRequest.test.ts
+++ b/src/requests/recoverRequest.test.ts
@@ -221,6 +221,7 @@
       driver.send({ type: 'server-crashed', server: engineAt(order, 0), atMs: 60, seed: 1 });
       const timer = `kv/r${index}`;
       driver.send({ type: 'timer-fired', timer, atMs: 120, seed: 1 });
+      driver.send({ type: 'caller-left', request: `r${index}`, atMs: 121, seed: 1 });
     }
     const refused = driver.effects.filter((effect) => effect.type === 'refuse');
     expect(refused.length).toBeGreaterThan(0);
--- a/src/requests/reduceRouter.ts
+++ b/src/requests/reduceRouter.ts
@@ -4,7 +4,9 @@
  */
 
 import { createReducer } from '../decisions/createReducer';
+import { ADAPT_MS, ADMISSION_TIMER } from './constants';
 import { fireTimer } from './fireTimer';
+import { learnUse } from './learnUse';
 import { leaveRequest } from './leaveRequest';
 import { planRouter } from './planRouter';
 import { receiveKv } from './receiveKv';
@@ -17,8 +19,10 @@
 
 /** Handles one event of the router side. */
 export const reduceRouter = createReducer<Router, RouterEvent, RouterEffect>({
-  'configuration-changed': (router, { configuration }) =>
-    quiet(planRouter({ ...router, configuration })),
+  'configuration-changed': (router, { configuration }) => ({
+    state: planRouter({ ...router, configuration }),
+    effects: [{ type: 'set-timer', timer: ADMISSION_TIMER, afterMs: ADAPT_MS }],
+  }),
   'request-received': startRequest,
   'stream-message': receiveStream,
   'stream-closed': closeStream,
@@ -29,7 +33,7 @@
   'cache-event': quiet,
   'servers-changed': (router, { servers }) =>
     quiet(planRouter({ ...router, health: new Map(servers.map((item) => [item.server, item])) })),
-  'use-learned': (router, { acceptingVms }) => quiet({ ...router, acceptingVms }),
+  'use-learned': (router, event) => quiet(learnUse(router, event)),
   'suspects-learned': quiet,
   'accepting-changed': (router, { isAccepting, reason }) =>
     quiet({ ...router, isAccepting, refusalReason: reason }),
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -8,6 +8,7 @@
 import type { Pipeline } from '../pipelines/pipeline';
 import type { Route } from '../pipelines/route';
 import type { Workload } from '../pipelines/workload';
+import type { Admission } from './admission';
 import type { EngineUse } from './engineUse';
 import type { RequestId } from './request';
 import type { RetryBudget } from './retryBudget';
@@ -24,6 +25,8 @@
 export interface RouterOptions {
   /** Most requests that this VM runs at once. */
   readonly maxRunning: number;
+  /** Requests that run at once before anything was learned of the time to the first token. */
+  readonly startLimit: number;
   /** Chooses the route of an attempt; measurements put plain baselines in its place. */
   readonly chooseRoute: RouteChoice;
 }
@@ -36,6 +39,7 @@
   readonly requests: Map<RequestId, RunningRequest>;
   readonly engines: Map<BackendServerId, EngineUse>;
   readonly retries: RetryBudget;
+  readonly admission: Admission;
   /** VMs that accept new work, this one included. */
   readonly acceptingVms: number;
   /** Mean shape of the requests of late. */
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -1,8 +1,9 @@
 /** Takes a request in: refuses it at once, or opens its first attempt. */
 
-import { MS_PER_SECOND } from '../units';
 import type { NotRun, Refusal } from '../outcomes/outcome';
 import { addressRoute } from './addressRoute';
+import { admitRequest } from './admitRequest';
+import { RETRY_AFTER_MS } from './constants';
 import { earnRetry } from './earnRetry';
 import { openAttempt } from './openAttempt';
 import { refuse } from './refuse';
@@ -13,9 +14,6 @@
 
 type RequestReceived = Extract<RouterEvent, { readonly type: 'request-received' }>;
 
-/** Time after which a caller may come back when nothing better is known, milliseconds. */
-const RETRY_AFTER_MS = MS_PER_SECOND;
-
 export function startRequest(router: Router, event: RequestReceived): RouterDecision {
   const { request, atMs } = event;
   const running = createRunning(router, request);
@@ -25,8 +23,19 @@
     const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
     return { state: router, effects: refuse(request.id, refusal) };
   }
-  const earned = { ...router, retries: earnRetry(router.retries) };
-  return openAttempt(earned, running, route, addressRoute(router.configuration, route), atMs);
+  const admitted = admitRequest(router, request, event);
+  if (admitted.type === 'refused') {
+    return { state: router, effects: refuse(request.id, admitted.refusal) };
+  }
+  const { admission } = admitted;
+  const earned = { ...router, admission, retries: earnRetry(router.retries) };
+  return openAttempt(
+    earned,
+    { ...running, expectedFirstMs: admission.firstTokenMs },
+    route,
+    addressRoute(router.configuration, route),
+    atMs,
+  );
 }
 
 /** @returns the request as it starts, or why it does not */
