--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -7,10 +7,14 @@
 import { configuration } from './configuration';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { overload } from './overload';
+import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   membership,
+  overload,
+  throughput,
 };
 
 async function main(): Promise<void> {
