--- a/src/plans/buildTransaction.ts
+++ b/src/plans/buildTransaction.ts
@@ -17,13 +17,10 @@
 } from './planRows';
 import type { PlanRecord } from './planRecord';
 import type { Seen } from './planState';
-import {
-  CONFIGURATION_TABLE,
-  encodeRevision,
-  HEAD_KEY,
-  revisionKey,
-  type Head,
-} from './revisionRows';
+import { CONFIGURATION_TABLE, HEAD_KEY } from '../configuration/configurationConstants';
+import { encodeRevision } from '../configuration/encodeRevision';
+import type { Head } from '../configuration/head';
+import { revisionKey } from '../configuration/revisionKey';
 
 interface Part {
   readonly conditions: readonly RowCondition[];
--- a/src/plans/learnHeads.ts
+++ b/src/plans/learnHeads.ts
@@ -4,7 +4,8 @@
 import type { AuditHead } from './auditEntry';
 import { AUDIT_HEAD_KEY, AUDIT_TABLE } from './planRows';
 import type { Plans, Seen } from './planState';
-import { CONFIGURATION_TABLE, HEAD_KEY, type Head } from './revisionRows';
+import { CONFIGURATION_TABLE, HEAD_KEY } from '../configuration/configurationConstants';
+import type { Head } from '../configuration/head';
 
 /** The heads of an empty table. */
 export const NO_HEAD: Seen<Head> = { value: { revision: 0, changeId: '' }, version: 0 };
--- a/src/plans/planState.ts
+++ b/src/plans/planState.ts
@@ -8,7 +8,7 @@
 import type { Execution } from './execution';
 import type { OpenCall } from './openCall';
 import type { PlanId } from './plan';
-import type { Head } from './revisionRows';
+import type { Head } from '../configuration/head';
 
 /** A head row as last seen, with the version to name in a condition. */
 export interface Seen<Value> {
--- a/src/plans/sendWrite.ts
+++ b/src/plans/sendWrite.ts
@@ -31,7 +31,9 @@
   PLANS_TABLE,
 } from './planRows';
 import type { Plans } from './planState';
-import { CONFIGURATION_TABLE, decodeRevision, HEAD_KEY, revisionKey } from './revisionRows';
+import { readRevision } from './readRevision';
+import { CONFIGURATION_TABLE, HEAD_KEY } from '../configuration/configurationConstants';
+import { revisionKey } from '../configuration/revisionKey';
 
 type Step = Decision<Plans, PlanEffect>;
 type WriteCall = Extract<OpenCall, { readonly type: 'write' }>;
@@ -266,7 +268,7 @@
     const detail = result.type === 'unavailable' ? result.detail : 'Revisions are missing';
     return finishWrite(state, write, { type: 'unavailable', detail }, at);
   }
-  const revisions = result.rows.map((row) => decodeRevision(row.value));
+  const revisions = result.rows.map((row) => readRevision(row.value));
   const configuration = revisions
     .filter((revision) => revision.number > state.configuration.revision)
     .reduce<Configuration>(applyRevision, state.configuration);
--- a/src/plans/testing/planBench.ts
+++ b/src/plans/testing/planBench.ts
@@ -4,16 +4,14 @@
  */
 
 import TinyQueue from 'tinyqueue';
-import { applyRevision } from '../../configuration/applyRevision';
 import type { Configuration } from '../../configuration/configuration';
-import { createConfiguration } from '../../configuration/createConfiguration';
 import { createRandom } from '../../random/createRandom';
 import { createPlans } from '../createPlans';
 import type { OperatorAsk, OperatorRole, PlanEffect, PlanEvent } from '../planMessage';
 import type { Plans } from '../planState';
 import { reducePlans } from '../reducePlans';
-import { CONFIGURATION_TABLE, decodeRevision, revisionKey } from '../revisionRows';
 import { createFakeTable, type FakeTable } from './fakeTable';
+import { readConfiguration } from './readConfiguration';
 import { takeOrder, type FakeEngine, type TakenOrder } from './fakeEngine';
 
 /** Milliseconds between two ticks of a node. */
@@ -182,8 +180,12 @@
         feed(node, event, life);
       });
     };
-    const out = (run: () => void): void => {
-      after(delay() + random.next() * bench.sendDelayMs, run);
+    /** A message leaves the VM after a while, or when a pause that began meanwhile is over. */
+    const out = (run: () => void, afterMs = delay() + random.next() * bench.sendDelayMs): void => {
+      after(afterMs, () => {
+        if (nowMs < node.pausedUntilMs) out(run, node.pausedUntilMs - nowMs);
+        else run();
+      });
     };
     const handlers: Carriers = {
       answer: ({ call, status, body }) => {
@@ -276,12 +278,3 @@
   nodes.forEach(tick);
   return bench;
 }
-
-/** Builds the configuration from the rows of the table. */
-export function readConfiguration(table: FakeTable): Configuration {
-  const revisions = [...table.rows().values()]
-    .filter((row) => row.table === CONFIGURATION_TABLE && row.key >= revisionKey(1))
-    .map((row) => decodeRevision(row.value))
-    .sort((one, other) => one.number - other.number);
-  return revisions.reduce<Configuration>(applyRevision, createConfiguration());
-}
