--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -6,11 +6,13 @@
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
 import type { Measurement } from './measurement';
+import { plansFaults } from './plansFaults';
 import { membership } from './membership';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   membership,
+  'plans-faults': plansFaults,
 };
 
 async function main(): Promise<void> {
