Answer malformed and impossible intents, retire VMs and engines under test

Cause: an intent's shape was not checked, and the planners had no tests. Cancelling a proposed plan takes the role plan, a running one confirm.

--- a/src/plans/cancelPlan.ts
+++ b/src/plans/cancelPlan.ts
@@ -3,6 +3,7 @@
 import type { RowVersion } from '../contracts/table';
 import type { Decision } from '../decisions/decision';
 import type { Occurrence } from '../decisions/primitive';
+import { refuse, STATUS } from './answers';
 import { auditBody } from './auditBody';
 import { refuseSettled } from './confirmPlan';
 import { nextMarker } from './nextMarker';
@@ -38,6 +39,10 @@
 ): Decision<Plans, PlanEffect> {
   const cancel = CANCELLERS[record.status];
   if (cancel === undefined) return { state, effects: [refuseSettled(call, record)] };
+  if (record.status !== 'proposed' && operator.role !== 'confirm') {
+    const detail = `${operator.name} has role ${operator.role}; cancelling a ${record.status} plan takes role confirm`;
+    return { state, effects: [refuse(call, STATUS.forbidden, 'role-too-low', detail)] };
+  }
   const cause = `cancelled by ${operator.name}`;
   const body = auditBody(record, {
     wallMs,
--- a/src/plans/driveExecution.test.ts
+++ b/src/plans/driveExecution.test.ts
@@ -167,6 +167,33 @@
     }
   });
 
+  it('retires a VM by telling it to leave', () => {
+    const { bench } = prepareMove();
+    const plan = proposeIntent(bench, { type: 'retire-vm', vm: 'vm-2' });
+    bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(MOVE_MS);
+    expect([...bench.drained]).toEqual(['vm-2']);
+    expect(statusOf(bench, plan)).toBe('done');
+    expect(findViolations(bench)).toEqual([]);
+  });
+
+  it('retires an engine, which is told to leave and drained before it is taken out', () => {
+    const { bench } = prepareMove();
+    const e2 = bench.engines.get('e2');
+    if (e2 === undefined) throw new Error('no e2');
+    e2.running = 1;
+    const plan = proposeIntent(bench, { type: 'retire-backend-server', server: 'e2' });
+    bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(MOVE_MS);
+    expect(e2.state.leaving).toBe(true);
+    expect(bench.configuration().backendServer.get('e2')).toMatchObject({ leaving: true });
+    e2.running = 0;
+    bench.run(MOVE_MS);
+    expect(bench.configuration().engine.has('e2')).toBe(false);
+    expect(statusOf(bench, plan)).toBe('done');
+    expect(findViolations(bench)).toEqual([]);
+  });
+
   it('undoes a plan whose engine cannot be reached', () => {
     const { bench, plan } = prepareMove();
     const before = objectsOf(bench.configuration());
--- a/src/plans/handleAsk.ts
+++ b/src/plans/handleAsk.ts
@@ -28,7 +28,7 @@
 const ROLES: Readonly<Record<OperatorAsk['type'], OperatorRole>> = {
   'state-intent': 'plan',
   'confirm-plan': 'confirm',
-  'cancel-plan': 'confirm',
+  'cancel-plan': 'plan',
   'list-plans': 'read',
   'show-plan': 'read',
   'read-audit': 'read',
--- a/src/plans/planIntent.ts
+++ b/src/plans/planIntent.ts
@@ -5,6 +5,7 @@
 import { costOf } from './costOf';
 import type { Draft, Impossible } from './draft';
 import type { Intent } from './intent';
+import { parseIntent } from './parseIntent';
 import type { Plan, PlanId } from './plan';
 import { planAddServer } from './planAddServer';
 import { planDescribeSite } from './planDescribeSite';
@@ -52,11 +53,13 @@
   id: PlanId,
   operator: string,
 ): Planned {
+  const parsed = parseIntent(intent);
+  if (parsed.type === 'impossible') return parsed;
   const planner = planners[intent.type] as (
     configuration: Configuration,
     intent: Intent,
   ) => Draft | Impossible;
-  const draft = planner(configuration, intent);
+  const draft = planner(configuration, parsed.intent);
   if (draft.type === 'impossible') return draft;
   const { steps, stages } = completeSteps(configuration, draft.steps);
   const { summary, preconditions, risks, rejected } = draft;
