--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -8,12 +8,14 @@
 import type { Measurement } from './measurement';
 import { membership } from './membership';
 import { overload } from './overload';
+import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   membership,
   overload,
+  plansFaults,
   throughput,
 };
 
