Keep a woken VM from taking its streams for stalled

After a pause every timer is overdue while tokens wait in the sockets: the router's stall timers fired first, found no backend server with fresh word and cut the streams. Overdue timers of the router now wait a grace in which that input is read; the fleet's fire at once, since it has to learn of the pause first. Longer stall limits were ruled out: they would slow every recovery.

--- a/src/adapters/createCallerStream.ts
+++ b/src/adapters/createCallerStream.ts
@@ -65,7 +65,7 @@
   };
   const isSlow = (): boolean => response.writableLength > options.bufferBytes;
   const writeEvent = (body: string, event = ''): void => {
-    if (!response.headersSent) startEvents(response, head.request);
+    if (!response.headersSent) startEvents(response);
     response.write(`${event}data: ${body}\n\n`);
   };
   response.setTimeout(options.idleMs, () => {
@@ -114,11 +114,10 @@
   return isSameRequest && isSameWorkspace && frame.position === position;
 }
 
-function startEvents(response: ServerResponse, request: string): void {
+function startEvents(response: ServerResponse): void {
   response.writeHead(200, {
     'content-type': 'text/event-stream; charset=utf-8',
     'cache-control': 'no-store',
-    'x-request-id': request,
   });
 }
 
--- a/src/adapters/createMembershipClient.ts
+++ b/src/adapters/createMembershipClient.ts
@@ -4,7 +4,9 @@
 import { z } from 'zod';
 import type { MembershipList } from '../contracts/membershipList';
 import { PLATFORM_TIMEOUT_MS } from './constants';
+import type { Vm, VmAddresses } from '../vms/vm';
 import { errorText } from './errorText';
+import type { Shape } from './shape';
 
 const address = z.object({ host: z.string(), port: z.number() });
 
@@ -16,8 +18,12 @@
         incarnation: z.number(),
         failureDomain: z.string(),
         region: z.string(),
-        addresses: z.object({ http: address, peer: address, gossip: address }),
-      }),
+        addresses: z.object({
+          http: address,
+          peer: address,
+          gossip: address,
+        } satisfies Shape<VmAddresses>),
+      } satisfies Shape<Vm>),
       state: z.enum(['live', 'leaving']),
     }),
   ),
--- a/src/adapters/engineSchemas.ts
+++ b/src/adapters/engineSchemas.ts
@@ -8,6 +8,7 @@
   LoadReport,
   OrderResult,
 } from '../contracts/engineContract';
+import type { Shape } from './shape';
 
 const layers = z.object({ from: z.number(), to: z.number() });
 
@@ -19,7 +20,7 @@
   layers,
   role: z.enum(['mixed', 'prefill', 'decode', 'idle']),
   leaving: z.boolean(),
-});
+} satisfies Shape<EngineState>);
 
 /** Answer to an order. */
 export const orderResultSchema: z.ZodType<OrderResult> = z.discriminatedUnion('type', [
@@ -35,7 +36,7 @@
   request: z.string(),
   layers,
   tokens: z.number(),
-});
+} satisfies Shape<KvExport>);
 
 /** KV exports of one request. */
 export const kvExportsSchema = z.object({ exports: z.array(kvExport) });
@@ -56,7 +57,7 @@
   kvTokensTotal: z.number(),
   stepMicros: z.number(),
   leaving: z.boolean(),
-});
+} satisfies Shape<LoadReport>);
 
 const cacheEvent: z.ZodType<CacheEvent> = z.object({
   engine: z.string(),
@@ -64,7 +65,7 @@
   type: z.enum(['stored', 'evicted']),
   prefixHash: z.string(),
   tokens: z.number(),
-});
+} satisfies Shape<CacheEvent>);
 
 /** Events of an engine's prefix cache. */
 export const cacheEventsSchema = z.object({ events: z.array(cacheEvent) });
--- a/src/adapters/handleCompletion.ts
+++ b/src/adapters/handleCompletion.ts
@@ -79,6 +79,7 @@
       leave();
     },
   });
+  response.setHeader('x-request-id', request.id);
   streams.set(request.id, stream);
   response.on('close', leave);
   host.send({ side: 'router', event: { type: 'request-received', request } });
--- a/src/adapters/peerMessage.ts
+++ b/src/adapters/peerMessage.ts
@@ -1,8 +1,10 @@
 /** What one VM asks of another on the reliable channel; bodies are msgpack maps. */
 
 import { z } from 'zod';
-import type { CallResult, PlainCall } from '../operations/operationMessage';
+import type { NotRun } from '../outcomes/outcome';
+import type { CallResult, PlainAnswer, PlainCall } from '../operations/operationMessage';
 import type { Incarnation, VmId } from '../vms/vm';
+import type { Shape } from './shape';
 
 /** A message of the fleet side, or a call that belongs to the receiver as its home. */
 export type PeerAsk =
@@ -31,14 +33,15 @@
   contentType: z.string(),
   operation: z.string().exactOptional(),
   forwardedBy: z.string().exactOptional(),
-});
+  asksOutcome: z.boolean().exactOptional(),
+} satisfies Shape<PlainCall>);
 
 const notRun = z.object({
   outcome: z.literal('not-run'),
   reason: z.string(),
   detail: z.string(),
   retryAfterMs: z.number().exactOptional(),
-});
+} satisfies Shape<NotRun>);
 
 const ranOrMayHave = z.object({
   outcome: z.enum(['unknown', 'failed']),
@@ -49,7 +52,11 @@
 const callResult = z.discriminatedUnion('type', [
   z.object({
     type: z.literal('answered'),
-    answer: z.object({ status: z.number(), contentType: z.string(), body: z.string() }),
+    answer: z.object({
+      status: z.number(),
+      contentType: z.string(),
+      body: z.string(),
+    } satisfies Shape<PlainAnswer>),
   }),
   z.object({ type: z.literal('refused'), refusal: z.union([notRun, ranOrMayHave]) }),
 ]);
--- a/src/adapters/streamMessageSchema.ts
+++ b/src/adapters/streamMessageSchema.ts
@@ -2,13 +2,15 @@
 
 import { z } from 'zod';
 import type { StreamMessage } from '../contracts/engineContract';
+import type { Receipt, TokenFrame } from '../requests/tokenFrame';
+import type { Shape } from './shape';
 
 const receipt = z.object({
   engine: z.string(),
   layers: z.object({ from: z.number(), to: z.number() }),
   attempt: z.number(),
   position: z.number(),
-});
+} satisfies Shape<Receipt>);
 
 const frame = z.object({
   request: z.string(),
@@ -19,7 +21,7 @@
   text: z.string(),
   receipts: z.array(receipt),
   finish: z.enum(['stop', 'length']).exactOptional(),
-});
+} satisfies Shape<TokenFrame>);
 
 /** Schema of one line of a stream. */
 export const streamMessageSchema: z.ZodType<StreamMessage> = z.discriminatedUnion('type', [
--- a/src/adapters/toProblem.ts
+++ b/src/adapters/toProblem.ts
@@ -5,24 +5,27 @@
 
 /** HTTP status where the outcome alone does not say it. */
 const STATUS_OF_REASON: Readonly<Record<string, number>> = {
+  'invalid-request': 400,
+  'unsupported-parameter': 400,
+  'too-many-tokens': 400,
+  'too-long': 400,
+  'operation-id-invalid': 400,
   unauthenticated: 401,
   forbidden: 403,
+  'role-too-low': 403,
   'no-such-path': 404,
   'no-such-service': 404,
+  'service-unknown': 404,
+  'unknown-service': 404,
+  'method-unknown': 404,
+  'never-received': 404,
   'no-such-method': 405,
-  'no-such-operation': 404,
-  'unknown-operation': 404,
-  'invalid-request': 400,
-  'invalid-operation-id': 400,
-  'unsupported-parameter': 400,
-  'too-many-tokens': 400,
   'caller-too-slow': 408,
+  'still-running': 409,
   'body-too-large': 413,
-  'headers-too-large': 431,
   'operation-id-reused': 422,
   'rate-limited': 429,
-  'workspace-limit': 429,
-  'too-many-requests': 429,
+  'headers-too-large': 431,
 };
 
 const STATUS_OF_OUTCOME: Readonly<Record<Refusal['outcome'], number>> = {
--- a/src/node/constants.ts
+++ b/src/node/constants.ts
@@ -32,5 +32,14 @@
 /** Time between two counts of the work in progress while a VM drains, milliseconds. */
 export const WORK_COUNT_MS = 100;
 
-/** Requests with deadlines of their own aside, when a first token is of no more use, milliseconds. */
-export const DEFAULT_FIRST_TOKEN_DEADLINE_MS = 30_000;
+/** Lateness from which a timer counts as held up by a pause of the process, milliseconds. */
+export const OVERDUE_MS = 250;
+
+/** Time for input that waited out a pause to be read before an overdue timer fires, milliseconds. */
+export const OVERDUE_GRACE_MS = 100;
+
+/** Requests whose course is kept for operators. */
+export const MAX_JOURNALS = 2000;
+
+/** Entries kept of one request. */
+export const MAX_JOURNAL_ENTRIES = 24;
--- a/src/node/createHttpHost.ts
+++ b/src/node/createHttpHost.ts
@@ -2,6 +2,7 @@
 
 import { performance } from 'node:perf_hooks';
 import type { HttpHost } from '../adapters/exchange';
+import { countWork } from './countWork';
 import type { RouterNode } from './createNode';
 import type { NodeActor } from './createNodeActor';
 import type { Ports } from './ports';
@@ -19,7 +20,7 @@
 export function createHttpHost(
   settings: Settings,
   actor: NodeActor<RouterNode>,
-  { metrics, waiting }: Ports,
+  { metrics, waiting, journal }: Ports,
   createId: () => string,
 ): HttpHost {
   const configuration = () => actor.state().router.configuration;
@@ -48,6 +49,10 @@
       const { isAccepting, reason } = actor.state().fleet.standing;
       return { isReady: isAccepting, reason };
     },
-    view: (name, argument) => viewNode(actor.state(), name, argument),
+    view: (name, argument) => {
+      const node = actor.state();
+      const running = countWork(waiting, node);
+      return viewNode(node, name, argument, { journal, running, nowMs: performance.now() });
+    },
   };
 }
--- a/src/node/createPorts.ts
+++ b/src/node/createPorts.ts
@@ -11,6 +11,7 @@
 import { createServerProbe } from '../adapters/createServerProbe';
 import { createTableClient } from '../adapters/createTableClient';
 import type { Address, Incarnation } from '../vms/vm';
+import { createJournal } from './createJournal';
 import type { Log } from './createLog';
 import { createMetrics } from './createMetrics';
 import { createTimers } from './createTimers';
@@ -58,8 +59,10 @@
       metrics.count('datagrams_dropped', 1, { reason });
     },
   });
-  const timers = createTimers((side, timer) => {
-    send({ side, event: { type: 'timer-fired', timer } });
+  const timers = createTimers({
+    onFired: (side, timer) => {
+      send({ side, event: { type: 'timer-fired', timer } });
+    },
   });
   const peers = createPeerClient(createSeal(settings.keys));
   const { table, membership } = settings.platform;
@@ -71,6 +74,7 @@
     gossip,
     peers,
     waiting: createWaiting(),
+    journal: createJournal(),
     table: createTableClient({ url: table, dispatcher }),
     membership: createMembershipClient({ url: membership, dispatcher }),
     engines: createEngineClient(dispatcher),
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -8,6 +8,7 @@
 import type { Waiting } from '../adapters/exchange';
 import type { MembershipList } from '../contracts/membershipList';
 import type { Table } from '../contracts/table';
+import type { Journal } from './createJournal';
 import type { Log } from './createLog';
 import type { Metrics } from './createMetrics';
 import type { Timers } from './createTimers';
@@ -26,4 +27,5 @@
   readonly gossip: Pick<GossipSocket, 'send'>;
   readonly peers: Pick<PeerClient, 'ask'>;
   readonly waiting: Waiting;
+  readonly journal: Journal;
 }
--- a/src/node/viewNode.ts
+++ b/src/node/viewNode.ts
@@ -1,25 +1,141 @@
-/** Views of a node for operators. */
+/** Views of a node for operators, JSON-ready: what this VM itself knows and how old that is. */
 
+import type { ServerRecord } from '../vms/serverRecord';
 import type { RouterNode } from './createNode';
+import type { Journal } from './createJournal';
 
-type View = (node: RouterNode, argument: string) => unknown;
+export interface ViewOptions {
+  readonly journal: Journal;
+  /** The node's monotonic clock, milliseconds. */
+  readonly nowMs: number;
+  readonly running: number;
+}
+
+type View = (node: RouterNode, argument: string, options: ViewOptions) => unknown;
 
 const views: Readonly<Record<string, View>> = {
-  status: ({ router }) => ({
-    isAccepting: router.isAccepting,
-    reason: router.refusalReason,
-    revision: router.configuration.revision,
-    requestsRunning: router.requests.size,
+  status: viewStatus,
+  vms: viewVms,
+  backends: (node, _argument, options) => ({
+    backends: [...node.router.configuration.backendServer.keys()].map((id) =>
+      viewBackend(node, id, options),
+    ),
   }),
+  configuration: ({ router }) =>
+    Object.fromEntries(
+      Object.entries(router.configuration).map(([kind, objects]) => [
+        kind,
+        typeof objects === 'number' ? objects : [...(objects as ReadonlyMap<string, unknown>)],
+      ]),
+    ),
+  explain: explain,
 };
 
 /**
- * Gives one view, JSON-ready.
+ * Gives one view.
  *
  * @param node the state of the node
  * @param name which view
  * @param argument what it is about, where it takes one
+ * @param options the journal, the time, and how much runs
+ * @returns undefined where there is nothing of that name
  */
-export function viewNode(node: RouterNode, name: string, argument: string): unknown {
-  return views[name]?.(node, argument);
+export function viewNode(
+  node: RouterNode,
+  name: string,
+  argument: string,
+  options: ViewOptions,
+): unknown {
+  return views[name]?.(node, argument, options);
+}
+
+function viewStatus(
+  { fleet, router }: RouterNode,
+  _argument: string,
+  options: ViewOptions,
+): unknown {
+  const { applied, accepted, head } = fleet.configuration;
+  return {
+    vm: fleet.vm.id,
+    incarnation: fleet.vm.incarnation,
+    isAccepting: fleet.standing.isAccepting,
+    reason: fleet.standing.reason,
+    isDraining: fleet.drain !== undefined,
+    revision: applied.revision,
+    accepted,
+    head,
+    liveVms: fleet.membership.liveVms,
+    usableBackends: [...router.health.values()].filter(({ isUsable }) => isUsable).length,
+    backends: router.configuration.backendServer.size,
+    running: options.running,
+  };
+}
+
+function viewVms({ fleet }: RouterNode, _argument: string, { nowMs }: ViewOptions): unknown {
+  const others = [...fleet.membership.members.values()].map((member) => ({
+    id: member.id,
+    status: member.status,
+    isAccepting: member.isAccepting,
+    isDraining: member.isDraining,
+    revision: member.applied,
+    listing: member.listing,
+    incarnation: member.incarnation,
+    failureDomain: member.vm.failureDomain,
+    http: member.vm.addresses.http,
+    heardMsAgo: ageOf(member.heardAtMs, nowMs),
+  }));
+  const self = {
+    id: fleet.vm.id,
+    status: 'self',
+    isAccepting: fleet.standing.isAccepting,
+    isDraining: fleet.drain !== undefined,
+    revision: fleet.configuration.applied.revision,
+    listing: '',
+    incarnation: fleet.vm.incarnation,
+    failureDomain: fleet.vm.failureDomain,
+    http: fleet.vm.addresses.http,
+    heardMsAgo: 0,
+  };
+  return { vms: [self, ...others] };
+}
+
+function viewBackend({ router, fleet }: RouterNode, id: string, { nowMs }: ViewOptions): unknown {
+  const server = router.configuration.backendServer.get(id);
+  if (server === undefined) return undefined;
+  const engine = router.configuration.engine.get(id);
+  const health = router.health.get(id);
+  const record: ServerRecord | undefined = fleet.servers.records.get(id);
+  return {
+    id,
+    kind: server.kind,
+    failureDomain: server.failureDomain,
+    address: server.address,
+    isUsable: health?.isUsable ?? false,
+    weight: health?.weight ?? 0,
+    state: record?.word?.state ?? 'no word',
+    wordMsAgo: record?.word === undefined ? undefined : ageOf(record.word.observedAtMs, nowMs),
+    wordVia: record?.word?.via,
+    failuresInRow: record?.conduct.failuresInRow ?? 0,
+    ejections: record?.conduct.ejections ?? 0,
+    ...(engine === undefined
+      ? {}
+      : { model: engine.model, layers: engine.layers, role: engine.role, load: record?.load }),
+  };
+}
+
+/** A request that this VM took in, or a backend server. */
+function explain(node: RouterNode, id: string, options: ViewOptions): unknown {
+  const course = options.journal.read(id);
+  const running = node.router.requests.get(id);
+  if (course !== undefined || running !== undefined) {
+    const { phase, attempt, route, deliveredCount, avoided } = running ?? {};
+    const now = running && { phase, attempt, route, deliveredCount, avoided };
+    return { type: 'request', id, isRunning: running !== undefined, now, course };
+  }
+  const backend = viewBackend(node, id, options);
+  return backend === undefined ? undefined : { type: 'backend server', ...backend };
+}
+
+function ageOf(atMs: number, nowMs: number): number | undefined {
+  return Number.isFinite(atMs) ? Math.round(nowMs - atMs) : undefined;
 }
