--- a/src/vms/sendGossip.ts
+++ b/src/vms/sendGossip.ts
@@ -136,18 +136,20 @@
 }
 
 function refresh(fleet: Fleet, add: (id: VmId | undefined) => boolean): Fleet {
-  const { ring, cursor } = fleet.membership;
-  if (ring.length === 0) return fleet;
-  const count = Math.min(REFRESHED_ENTRIES, ring.length);
-  for (let step = 0; step < count; step += 1) add(ring[(cursor + step) % ring.length]);
-  return withMembership(fleet, { cursor: (cursor + count) % ring.length });
+  const { roster, cursor } = fleet.membership;
+  if (roster.length === 0) return fleet;
+  const count = Math.min(REFRESHED_ENTRIES, roster.length);
+  for (let step = 0; step < count; step += 1) add(roster[(cursor + step) % roster.length]);
+  return withMembership(fleet, { cursor: (cursor + count) % roster.length });
 }
 
-/** Moves what was sent to the back, with one send less. */
+/** Counts what was sent down and sorts it in again: what was sent least goes first. */
 function rotate(rumors: readonly Rumor[], sent: number): readonly Rumor[] {
   const again = rumors
     .slice(0, sent)
     .filter((rumor) => rumor.sends > 1)
     .map((rumor) => ({ ...rumor, sends: rumor.sends - 1 }));
-  return [...rumors.slice(sent), ...again];
+  const rest = rumors.slice(sent);
+  if (rest.length === 0) return again;
+  return [...rest, ...again].sort((one, other) => other.sends - one.sends);
 }
