Add the operators' command line and check intents before they reach the plans

Intents are checked with strict schemas; the plans side looks planners up by the type and would have thrown on an unknown one. Errors to operators are problem documents too. The demo's callers name themselves, so that address answers spread them over the VMs, and the demo waits until the last revision is accepted everywhere.

--- a/demo/createCaller.ts
+++ b/demo/createCaller.ts
@@ -1,5 +1,6 @@
 /** One caller of a workspace, who asks again where that is safe and checks every answer. */
 
+import { connectionFailure } from '../src/adapters/connectionFailure';
 import { encodeText } from '../src/adapters/encodeText';
 import { computeAnswer } from '../standins/engine/computeToken';
 import { createDirectory } from './createDirectory';
@@ -24,6 +25,7 @@
 
 export interface CallerOptions {
   readonly workspace: WorkspaceName;
+  readonly name: string;
   readonly tally: Tally;
   readonly known: () => readonly string[];
   /** Told of each write that was refused as not run, by its path. */
@@ -40,16 +42,19 @@
   readonly retryAfterMs?: number;
 }
 
+/** Nobody took the first connection, so nothing was sent: safe to ask anew under another id. */
+const NEVER_SENT: Problem = { outcome: 'not-run' };
+
 /**
  * Creates a caller.
  *
  * @param options whose caller, where it asks first, and who counts
  */
 export function createCaller(options: CallerOptions): Caller {
-  const { workspace, tally, known, onNotRun } = options;
+  const { workspace, name, tally, known, onNotRun } = options;
   const token = TOKENS[workspace];
   const service = PLAIN_SERVICES[workspace];
-  const directory = createDirectory({ token, known });
+  const directory = createDirectory({ token, name, known });
   let sequence = 0;
 
   const finish = (isRight: boolean): void => {
@@ -65,8 +70,9 @@
       try {
         const body = method === 'GET' ? { token } : call;
         return (await callJson(`${at}/v1/services/${service.id}${path}`, { method, ...body })).body;
-      } catch {
+      } catch (error) {
         directory.forget();
+        if (at === url && connectionFailure(error) === 'unreachable') return NEVER_SENT;
         await sleep(RETRY_MS);
       }
     }
--- a/demo/createDirectory.ts
+++ b/demo/createDirectory.ts
@@ -23,6 +23,8 @@
 
 export interface DirectoryOptions {
   readonly token: string;
+  /** Name of the caller, by which answers spread callers over the VMs. */
+  readonly name: string;
   /** VMs that the caller was told of at first. */
   readonly known: () => readonly string[];
 }
@@ -43,7 +45,7 @@
  *
  * @param options the caller's token, and where to ask first
  */
-export function createDirectory({ token, known }: DirectoryOptions): Directory {
+export function createDirectory({ token, name, known }: DirectoryOptions): Directory {
   let urls: readonly string[] = [];
   let ticket = '';
   let goodUntil = 0;
@@ -54,7 +56,7 @@
   };
   const ask = async (): Promise<void> => {
     try {
-      const url = `${pick(known())}/v1/addresses`;
+      const url = `${pick(known())}/v1/addresses?caller=${name}`;
       const { status, body } = await callJson(url, { token, timeoutMs: ASK_TIMEOUT_MS });
       const reply = body as AddressReply;
       if (status !== 200 || reply.ticket === undefined || reply.addresses.length === 0) return;
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -8,11 +8,12 @@
 import { checkRuns } from './checkRuns';
 import { createCaller } from './createCaller';
 import { createTally } from './createTally';
+import { callJson } from './http';
 import { describeSite } from './describeSite';
 import { createOperator } from './operator';
 import { sleep } from './sleep';
 import type { Stage } from './stage';
-import { startFleet } from './startFleet';
+import { OPERATOR_TOKEN, startFleet } from './startFleet';
 import { startPlatform } from './startPlatform';
 import { startProcesses } from './startProcesses';
 import type { Processes } from './startProcesses';
@@ -20,8 +21,8 @@
 
 const VMS = ['vm-1', 'vm-2', 'vm-3'] as const;
 
-/** Time for all VMs to take the new services in, milliseconds. */
-const SETTLE_MS = 1000;
+/** Time between two looks at what is in force, milliseconds. */
+const POLL_MS = 50;
 
 async function main(): Promise<void> {
   const processes = startProcesses();
@@ -52,9 +53,10 @@
     const operator = createOperator(() => known().at(-1) ?? '');
     const plans = await describeSite(operator, platform);
     say(`${plans} intents were planned, confirmed and carried out`);
-    await sleep(SETTLE_MS);
+    say(`revision ${await untilInForce(known())} is in force on every VM`);
     const tally = createTally();
     const notRun = new Set<string>();
+    let callers = 0;
     const onNotRun = (path: string): void => {
       notRun.add(path);
     };
@@ -64,7 +66,11 @@
       operator,
       tally,
       say,
-      createCaller: (workspace) => createCaller({ workspace, tally, known, onNotRun }),
+      createCaller: (workspace) => {
+        callers += 1;
+        const name = `caller-${callers}`;
+        return createCaller({ workspace, name, tally, known, onNotRun });
+      },
     };
     const findings = await play(stage);
     return await close(stage, notRun, findings);
@@ -73,6 +79,19 @@
   }
 }
 
+/** Waits until every VM says that the last revision is accepted, and gives its number. */
+async function untilInForce(urls: readonly string[]): Promise<number> {
+  for (;;) {
+    const answers = await Promise.all(
+      urls.map((url) => callJson(`${url}/v1/operator/status`, { token: OPERATOR_TOKEN })),
+    );
+    const states = answers.map(({ body }) => body as Readonly<Record<string, number>>);
+    const highest = Math.max(...states.map(({ head = 0 }) => head));
+    if (states.every(({ accepted }) => accepted === highest)) return highest;
+    await sleep(POLL_MS);
+  }
+}
+
 /** Plays all acts under steady traffic, and gives what did not hold. */
 async function play(stage: Stage): Promise<readonly string[]> {
   const traffic = startTraffic(stage.createCaller);
--- a/src/adapters/askPlans.ts
+++ b/src/adapters/askPlans.ts
@@ -1,8 +1,11 @@
 /** Brings an operator's ask to the plans side and the answer back. */
 
+import { z } from 'zod';
 import type { Operator, OperatorAsk } from '../plans/planMessage';
 import type { Exchange } from './exchange';
+import type { Refusal } from '../outcomes/outcome';
 import { sendJson } from './sendJson';
+import { sendProblem } from './sendProblem';
 
 /**
  * Asks and answers.
@@ -22,5 +25,16 @@
   const id = host.createId();
   host.send({ side: 'plans', event: { type: 'operator-asked', call, operator, ask, wallMs, id } });
   const { status, body } = await answer;
-  sendJson(response, status, body);
+  if (status < 400) sendJson(response, status, body);
+  else sendProblem(response, { ...readRefusal(body), status }, body);
+}
+
+const refusalSchema = z.object({
+  outcome: z.enum(['not-run', 'unknown', 'failed']).default('failed'),
+  reason: z.string().default('operator-ask-refused'),
+  detail: z.string().default('the ask was refused'),
+});
+
+function readRefusal(body: unknown): Pick<Refusal, 'outcome' | 'reason' | 'detail'> {
+  return refusalSchema.parse(typeof body === 'object' && body !== null ? body : {});
 }
--- a/src/adapters/handleAddresses.ts
+++ b/src/adapters/handleAddresses.ts
@@ -5,15 +5,17 @@
 import { sendJson } from './sendJson';
 
 /**
- * Handles `GET /v1/addresses`.
+ * Handles `GET /v1/addresses`. Answers spread callers over the VMs by name: the caller's own, given as
+ * `?caller=NAME`, or else its IP number.
  *
  * @param exchange the exchange
  * @param workspace whose caller it is
  */
 export async function handleAddresses(exchange: Exchange, workspace: WorkspaceId): Promise<void> {
-  const { request, response, host } = exchange;
+  const { request, response, host, url } = exchange;
   const call = host.createId();
-  const caller = `${workspace}@${request.socket.remoteAddress ?? ''}`;
+  const name = url.searchParams.get('caller') ?? request.socket.remoteAddress ?? '';
+  const caller = `${workspace}/${name}`;
   const { addresses: waitingForAddresses, tickets, calls } = host.waiting;
   const answer = waitingForAddresses.wait(call);
   // A VM that takes no new work answers the call in place of granting a ticket.
--- a/src/adapters/operatorRoutes.ts
+++ b/src/adapters/operatorRoutes.ts
@@ -1,11 +1,11 @@
 /** The operators' HTTP interface, under `/v1/operator/`. */
 
 import { z } from 'zod';
-import type { Intent } from '../plans/intent';
 import type { OperatorAsk } from '../plans/planMessage';
 import { askPlans } from './askPlans';
 import { DEFAULT_AUDIT_ROWS, MAX_AUDIT_ROWS } from './constants';
 import type { Exchange } from './exchange';
+import { intentSchema } from './intentSchema';
 import { readJsonBody } from './readJsonBody';
 import { refuseExchange } from './refuseExchange';
 import type { Route } from './route';
@@ -13,7 +13,7 @@
 import { withOperator } from './withOperator';
 
 const intentBody = z.object({
-  intent: z.looseObject({ type: z.string() }),
+  intent: intentSchema,
   reason: z.string().min(1).max(1000),
 });
 
@@ -21,6 +21,7 @@
   since: z.coerce.number().optional(),
   service: z.string().optional(),
   who: z.string().optional(),
+  verify: z.stringbool().default(false),
   limit: z.coerce.number().int().min(1).max(MAX_AUDIT_ROWS).default(DEFAULT_AUDIT_ROWS),
 });
 
@@ -33,8 +34,7 @@
     return;
   }
   const { intent, reason } = checked.data;
-  const ask = { type: 'state-intent', intent: intent as unknown as Intent, reason } as const;
-  await askPlans(exchange, operator, ask);
+  await askPlans(exchange, operator, { type: 'state-intent', intent, reason });
 });
 
 const readAudit = withOperator('read', async (exchange, operator) => {
@@ -43,10 +43,11 @@
     refuseExchange(exchange, 'invalid-request', z.prettifyError(checked.error));
     return;
   }
-  const { since, service, who, limit } = checked.data;
+  const { since, service, who, verify, limit } = checked.data;
   await askPlans(exchange, operator, {
     type: 'read-audit',
     limit,
+    verify,
     ...(since === undefined ? {} : { since }),
     ...(service === undefined ? {} : { service }),
     ...(who === undefined ? {} : { who }),
@@ -89,7 +90,7 @@
   {
     method: 'POST',
     path: /^\/v1\/operator\/plans\/([^/]+)\/cancel$/,
-    handle: askAbout('plan', (plan) => ({ type: 'cancel-plan', plan })),
+    handle: askAbout('confirm', (plan) => ({ type: 'cancel-plan', plan })),
   },
   { method: 'GET', path: /^\/v1\/operator\/audit$/, handle: readAudit },
   {
--- a/src/adapters/sendProblem.ts
+++ b/src/adapters/sendProblem.ts
@@ -33,8 +33,9 @@
  *
  * @param response nothing has been sent on it yet
  * @param problem what went wrong
+ * @param more further members of the document, where it is an object
  */
-export function sendProblem(response: ServerResponse, problem: Problem): void {
+export function sendProblem(response: ServerResponse, problem: Problem, more: unknown = {}): void {
   if (response.headersSent || response.destroyed) return;
   const { status, retryAfterMs } = problem;
   response.writeHead(status, {
@@ -46,5 +47,5 @@
       : { 'retry-after': String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND))) }),
     ...(status === 401 ? { 'www-authenticate': 'Bearer' } : {}),
   });
-  response.end(JSON.stringify(createProblemBody(problem)));
+  response.end(JSON.stringify({ ...Object(more), ...createProblemBody(problem) }));
 }
--- a/src/bin/citronpassd.ts
+++ b/src/bin/citronpassd.ts
@@ -1,71 +1,11 @@
 #!/usr/bin/env node
 /** The daemon: `citronpassd --settings FILE [--check]`. */
 
-import { readFileSync } from 'node:fs';
-import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { errorText } from '../adapters/errorText';
-import { EXIT_CUT, EXIT_USAGE } from '../node/constants';
-import { parseSettings } from '../node/parseSettings';
-import type { SettingsResult } from '../node/settings';
-import { startDaemon } from '../node/startDaemon';
-import type { Daemon } from '../node/startDaemon';
+import { runDaemon } from './runDaemon';
 
-async function main(): Promise<void> {
-  const argv = await yargs(hideBin(process.argv))
-    .usage('citronpassd --settings FILE [--check]')
-    .options({
-      settings: { type: 'string', demandOption: true, describe: 'TOML file with the settings' },
-      check: { type: 'boolean', default: false, describe: 'check the settings and exit' },
-    })
-    .strict()
-    .fail((message, error) => {
-      console.error(message || errorText(error));
-      process.exit(EXIT_USAGE);
-    })
-    .parseAsync();
-  const result = readSettings(argv.settings);
-  if (result.type === 'invalid') {
-    for (const { file, key, message } of result.mistakes)
-      console.error(`${file}: ${key}: ${message}`);
-    process.exitCode = EXIT_USAGE;
-    return;
-  }
-  if (argv.check) {
-    console.log(`${argv.settings}: ok`);
-    return;
-  }
-  drainOnSignal(await startDaemon(result.settings));
-}
-
-function readSettings(file: string): SettingsResult {
-  try {
-    return parseSettings(readFileSync(file, 'utf8'), { file });
-  } catch (error) {
-    const message = `can't be read: ${errorText(error)}`;
-    return { type: 'invalid', mistakes: [{ file, key: '(whole file)', message }] };
-  }
-}
-
-/** The first signal drains; a second one says what it cuts, and exits. */
-function drainOnSignal(daemon: Daemon): void {
-  let isDraining = false;
-  const onSignal = (): void => {
-    if (isDraining) {
-      console.error(`cutting ${daemon.countWork()} requests and calls in progress`);
-      process.exit(EXIT_CUT);
-    }
-    isDraining = true;
-    void daemon
-      .drain()
-      .then(() => daemon.stop())
-      .then(() => process.exit(0));
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
-}
-
-main().catch((error: unknown) => {
+runDaemon(hideBin(process.argv)).catch((error: unknown) => {
   console.error(errorText(error));
   process.exitCode = 1;
 });
--- /dev/null
+++ b/src/bin/cli/readIntentFile.ts
@@ -0,0 +1,28 @@
+/** Reads an intent from a TOML or JSON file. */
+
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import { z } from 'zod';
+import { intentSchema } from '../../adapters/intentSchema';
+import type { Intent } from '../../plans/intent';
+
+export type IntentResult =
+  | { readonly type: 'read'; readonly intent: Intent }
+  | { readonly type: 'invalid'; readonly detail: string };
+
+/**
+ * Reads and checks one intent.
+ *
+ * @param file a path; a name that ends with `.json` is JSON, any other TOML
+ */
+export function readIntentFile(file: string): IntentResult {
+  try {
+    const text = readFileSync(file, 'utf8');
+    const document: unknown = file.endsWith('.json') ? JSON.parse(text) : parse(text);
+    const checked = intentSchema.safeParse(document);
+    if (checked.success) return { type: 'read', intent: checked.data };
+    return { type: 'invalid', detail: `${file}:\n${z.prettifyError(checked.error)}` };
+  } catch (error) {
+    return { type: 'invalid', detail: `${file}: ${String(error)}` };
+  }
+}
