--- a/src/node/testSite.ts
+++ b/src/node/testSite.ts
@@ -67,6 +67,8 @@
   readonly limits?: Partial<LimitSettings>;
   /** Time of one decode step, milliseconds. */
   readonly stepMs?: number;
+  /** Addresses of the four engines, where others than the stand-ins are to be used. */
+  readonly engines?: readonly Server[];
 }
 
 /**
@@ -77,7 +79,9 @@
 export async function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
   const { limits = {}, stepMs = 0 } = options;
   const platform = await Promise.all([startTable(), startObjectStore(), startMembership()]);
-  const engines = await Promise.all(STAGES.map(([id, stage]) => startStage(id, stage, stepMs)));
+  const engines =
+    options.engines ??
+    (await Promise.all(STAGES.map(([id, stage]) => startStage(id, stage, stepMs))));
   const plain = await startPlainService({ id: 'desk-0' });
   const settings = createSettings(platform, { ...DEFAULT_LIMITS, ...limits });
   const [table] = platform;
