Wait in a drain for responses that are not handed over whole

A drain counted callers as done when the last byte was written, not when the system had taken it; a slow reader's end could be cut by the exit.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -44,7 +44,7 @@
 
 async function run(processes: Processes, say: Stage['say']): Promise<readonly string[]> {
   const platform = await startPlatform(processes);
-  say(`stand-ins run: table, objects, list, ${platform.engines.size} engines of 4 kinds, 4 desks`);
+  say(`stand-ins run: table, list of VMs, ${platform.engines.size} engines of 4 kinds, 4 desks`);
   const fleet = startFleet(processes, platform);
   try {
     await Promise.all(VMS.map((id) => fleet.start(id)));
--- a/demo/startFleet.ts
+++ b/demo/startFleet.ts
@@ -88,7 +88,7 @@
   return { id, incarnation: 0, failureDomain: failureDomainOf(id), region: 'demo', addresses };
 }
 
-function createSettings(id: string, { table, objects, membership }: Platform): string {
+function createSettings(id: string, { table, membership }: Platform): string {
   return `[vm]
 id = "${id}"
 region = "demo"
@@ -101,7 +101,6 @@
 
 [platform]
 table = "${table.url}"
-objects = "${objects.url}"
 membership = "${membership.url}"
 
 [fleet]
--- a/demo/startPlatform.ts
+++ b/demo/startPlatform.ts
@@ -12,7 +12,6 @@
 
 export interface Platform {
   readonly table: StandIn;
-  readonly objects: StandIn;
   readonly membership: StandIn;
   /** Engines by id. */
   readonly engines: ReadonlyMap<string, StandIn>;
@@ -52,14 +51,13 @@
     id,
     await start('plain-service', id, { id }),
   ];
-  const [table, objects, membership, engines, plain] = await Promise.all([
+  const [table, membership, engines, plain] = await Promise.all([
     start('table', 'table'),
-    start('object-store', 'objects'),
     start('membership', 'membership', { lagMs: 200 }),
     Promise.all(ENGINES.map(({ id }) => startEngine(id))),
     Promise.all(Object.values(PLAIN_SERVERS).flat().map(startPlain)),
   ]);
-  return { table, objects, membership, engines: new Map(engines), plain: new Map(plain) };
+  return { table, membership, engines: new Map(engines), plain: new Map(plain) };
 }
 
 function readPort(line: unknown): { readonly port: number } | undefined {
--- a/src/adapters/createHttpServer.ts
+++ b/src/adapters/createHttpServer.ts
@@ -83,6 +83,11 @@
   host: HttpHost,
 ): Promise<void> {
   const exchange = { request, response, host, captured: [], url: readUrl(request) };
+  const { responses } = host.waiting;
+  responses.add(response);
+  response.on('close', () => {
+    responses.delete(response);
+  });
   try {
     await dispatch(exchange);
   } catch (error) {
--- a/src/adapters/createPeerServer.test.ts
+++ b/src/adapters/createPeerServer.test.ts
@@ -35,13 +35,13 @@
     reply = () => Promise.resolve({ type: 'taken' });
     server = await createPeerServer({
       listen: { host: '127.0.0.1', port: 0 },
-      seal: createSeal({ current: KEY }),
+      seal: createSeal('test', { current: KEY }),
       answer: (ask) => {
         asked.push(ask);
         return reply();
       },
     });
-    client = createPeerClient(createSeal({ current: KEY }));
+    client = createPeerClient(createSeal('test', { current: KEY }));
   });
 
   afterEach(() => {
@@ -78,18 +78,25 @@
   });
 
   it('takes nothing from a VM without the key', async () => {
-    const stranger = createPeerClient(createSeal({ current: 'x'.repeat(32) }));
+    const stranger = createPeerClient(createSeal('test', { current: 'x'.repeat(32) }));
     const answer = await stranger.ask(server.address, forward, TIMEOUT_MS);
     stranger.close();
     expect(answer).toEqual({ type: 'lost' });
     expect(asked).toEqual([]);
   });
 
+  it('takes nothing from a VM of another fleet', async () => {
+    const stranger = createPeerClient(createSeal('other', { current: KEY }));
+    const answer = await stranger.ask(server.address, forward, TIMEOUT_MS);
+    stranger.close();
+    expect([answer, asked]).toEqual([{ type: 'lost' }, []]);
+  });
+
   it('takes the previous key while keys change over', async () => {
-    const behind = createPeerClient(createSeal({ current: 'x'.repeat(32), previous: KEY }));
+    const behind = createPeerClient(createSeal('test', { current: 'x'.repeat(32), previous: KEY }));
     const ahead = await createPeerServer({
       listen: { host: '127.0.0.1', port: 0 },
-      seal: createSeal({ current: KEY, previous: 'x'.repeat(32) }),
+      seal: createSeal('test', { current: KEY, previous: 'x'.repeat(32) }),
       answer: () => Promise.resolve({ type: 'taken' }),
     });
     const answer = await behind.ask(ahead.address, forward, TIMEOUT_MS);
--- a/src/adapters/exchange.ts
+++ b/src/adapters/exchange.ts
@@ -19,6 +19,8 @@
 
 /** Those who wait for answers of the node, by what they wait for. */
 export interface Waiting {
+  /** Every response that has not been handed to the system whole; a drain waits for them. */
+  readonly responses: Set<ServerResponse>;
   readonly streams: Map<RequestId, CallerStream>;
   readonly calls: PendingCalls<CallResult>;
   readonly tickets: PendingCalls<string>;
--- a/src/adapters/seal.ts
+++ b/src/adapters/seal.ts
@@ -1,4 +1,4 @@
-/** Authenticates what VMs send each other, datagrams and messages alike. */
+/** Authenticates the messages that VMs send each other on the reliable channel. */
 
 export interface Seal {
   /** Gives the bytes with their proof of origin. */
--- a/src/bin/runDaemon.test.ts
+++ b/src/bin/runDaemon.test.ts
@@ -15,7 +15,6 @@
 gossip = "127.0.0.1:0"
 [platform]
 table = "http://127.0.0.1:1"
-objects = "http://127.0.0.1:1"
 membership = "http://127.0.0.1:1"
 [fleet]
 key = { file = "KEY" }
--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -3,11 +3,12 @@
 import { readFileSync } from 'node:fs';
 import yargs from 'yargs';
 import { errorText } from '../adapters/errorText';
-import { EXIT_CUT, EXIT_USAGE } from '../node/constants';
+import { EXIT_USAGE } from '../node/constants';
 import { parseSettings } from '../node/parseSettings';
 import type { Settings, SettingsResult } from '../node/settings';
 import { startDaemon } from '../node/startDaemon';
 import type { Daemon } from '../node/startDaemon';
+import { createSignalHandler } from './createSignalHandler';
 
 /**
  * Checks the settings and starts the daemon, or only checks them.
@@ -57,25 +58,12 @@
       void drained.then(() => end(daemon));
     },
   });
-  drainOnSignal(daemon);
+  const onSignal = createSignalHandler(daemon, (code) => process.exit(code));
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
 }
 
 async function end(daemon: Daemon): Promise<void> {
   await daemon.stop();
   process.exit(0);
 }
-
-/** The first signal drains; a second one says what it cuts, and exits. */
-function drainOnSignal(daemon: Daemon): void {
-  let isDraining = false;
-  const onSignal = (): void => {
-    if (isDraining) {
-      console.error(`cutting ${daemon.countWork()} requests and calls in progress`);
-      process.exit(EXIT_CUT);
-    }
-    isDraining = true;
-    void daemon.drain().then(() => end(daemon));
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
-}
--- a/src/node/createMetrics.ts
+++ b/src/node/createMetrics.ts
@@ -14,7 +14,7 @@
 /** Creates a registry of its own, so that several nodes fit into one process. */
 export function createMetrics(): Metrics {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry, prefix: 'citronpass_process_' });
+  collectDefaultMetrics({ register: registry, prefix: 'citronpass_' });
   const counters = new Map<string, { counter: Counter; labelNames: readonly string[] }>();
   const open = (name: string, labelNames: readonly string[]) => {
     const known = counters.get(name);
--- a/src/node/createPorts.ts
+++ b/src/node/createPorts.ts
@@ -64,7 +64,7 @@
       send({ side, event: { type: 'timer-fired', timer } });
     },
   });
-  const peers = createPeerClient(createSeal(settings.keys));
+  const peers = createPeerClient(createSeal(settings.fleet, settings.keys));
   const { table, membership } = settings.platform;
   const ports: Ports = {
     send,
--- a/src/node/createWaiting.ts
+++ b/src/node/createWaiting.ts
@@ -6,6 +6,7 @@
 /** Starts with nobody waiting. */
 export function createWaiting(): Waiting {
   return {
+    responses: new Set(),
     streams: new Map(),
     calls: createPendingCalls(),
     tickets: createPendingCalls(),
--- a/src/node/parseSettings.test.ts
+++ b/src/node/parseSettings.test.ts
@@ -14,7 +14,6 @@
 
 [platform]
 table = "http://127.0.0.1:9001"
-objects = "http://127.0.0.1:9002"
 membership = "http://127.0.0.1:9003"
 
 [fleet]
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -18,7 +18,6 @@
 /** Base URLs of the platform's services. */
 export interface PlatformSettings {
   readonly table: string;
-  readonly objects: string;
   readonly membership: string;
 }
 
--- a/src/node/settingsSchema.ts
+++ b/src/node/settingsSchema.ts
@@ -85,7 +85,7 @@
 export const settingsSchema = table({
   vm: table({ id: name, region: name, failure_domain: name }),
   listen: table({ http: address, peer: address, gossip: address }),
-  platform: table({ table: url, objects: url, membership: url }),
+  platform: table({ table: url, membership: url }),
   fleet: table({
     name: name.default('citronpass'),
     seeds: z.array(address, { error: 'accepted is a list of "IP:port"' }).max(64).default([]),
--- a/src/node/startDaemon.ts
+++ b/src/node/startDaemon.ts
@@ -105,7 +105,7 @@
   const actor = createActor(createNode(settings, incarnation), interpret, seed, ports);
   const peerServer = await createPeerServer({
     listen: settings.listen.peer,
-    seal: createSeal(settings.keys),
+    seal: createSeal(settings.fleet, settings.keys),
     answer: answerPeer({ incarnation, send: ports.send, waiting: ports.waiting, createId }),
   });
   const http = await createHttpServer(
--- a/src/node/testSite.ts
+++ b/src/node/testSite.ts
@@ -13,7 +13,6 @@
 import type { Address } from '../vms/vm';
 import { startEngine } from '../../standins/engine/startEngine';
 import { startMembership } from '../../standins/membership/startMembership';
-import { startObjectStore } from '../../standins/objectStore/startObjectStore';
 import { startPlainService } from '../../standins/plainService/startPlainService';
 import { startTable } from '../../standins/table/startTable';
 import type { Server } from '../../standins/http/startServer';
@@ -78,7 +77,7 @@
  */
 export async function startTestSite(options: TestSiteOptions = {}): Promise<TestSite> {
   const { limits = {}, stepMs = 0 } = options;
-  const platform = await Promise.all([startTable(), startObjectStore(), startMembership()]);
+  const platform = await Promise.all([startTable(), startMembership()]);
   const engines =
     options.engines ??
     (await Promise.all(STAGES.map(([id, stage]) => startStage(id, stage, stepMs))));
@@ -121,13 +120,11 @@
 
 function createSettings(platform: readonly Server[], limits: LimitSettings): Settings {
   const anyPort = { host: '127.0.0.1', port: 0 };
-  const [table = '', objects = '', membership = ''] = platform.map(
-    ({ host, port }) => `http://${host}:${port}`,
-  );
+  const [table = '', membership = ''] = platform.map(({ host, port }) => `http://${host}:${port}`);
   return {
     vm: { id: 'vm-1', region: 'nairobi', failureDomain: 'a' },
     listen: { http: anyPort, peer: anyPort, gossip: anyPort },
-    platform: { table, objects, membership },
+    platform: { table, membership },
     fleet: 'test',
     seeds: [],
     answerValidMs: 100,
