--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,6 +5,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
 import { overload } from './overload';
@@ -13,6 +14,7 @@
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  daemon,
   membership,
   overload,
   plansFaults,
