--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,14 +5,22 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
 import { operations } from './operations';
+import { overload } from './overload';
+import { plansFaults } from './plansFaults';
+import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  daemon,
   membership,
   operations,
+  overload,
+  plansFaults,
+  throughput,
 };
 
 async function main(): Promise<void> {
