--- a/measurements/soak/applyFault.ts
+++ b/measurements/soak/applyFault.ts
@@ -109,7 +109,7 @@
 }
 
 function countAgain(world: World, node: SoakNode): void {
-  if (!node.isUp || world.isClosing) return;
+  if (!node.isUp) return;
   if (world.nowMs < node.pausedUntilMs) {
     world.schedule(node.pausedUntilMs - world.nowMs, () => {
       countAgain(world, node);
--- a/measurements/soak/judgeCalls.ts
+++ b/measurements/soak/judgeCalls.ts
@@ -2,7 +2,7 @@
 
 import { findFailure } from './findFailure';
 import type { CallResult } from '../../src/operations/operationMessage';
-import type { TicketedWork } from './soakCall';
+import type { SoakCall } from './soakCall';
 import type { PlainRun } from './soakServer';
 import type { World } from './soakWorld';
 
@@ -31,7 +31,7 @@
   return groups;
 }
 
-function judgeRuns(world: World, call: TicketedWork, runs: number): void {
+function judgeRuns(world: World, call: SoakCall, runs: number): void {
   if (call.kind === 'lookup' || runs <= 1) return;
   findFailure(world, 'doubled', `${call.name} (${call.kind}) ran ${runs} times`);
 }
@@ -40,7 +40,7 @@
  * Under a ticket, or without an id, one not-run is final. Under a caller's own key it speaks for the
  * send that it answers, so nothing may have run only where every send got it.
  */
-function judgeRefusals(world: World, call: TicketedWork, runs: number): void {
+function judgeRefusals(world: World, call: SoakCall, runs: number): void {
   if (call.kind === 'lookup' || runs === 0) return;
   const refused = call.answers.filter(({ result }) => isNotRun(result)).length;
   const isFinal = call.kind === 'own-key' ? refused > 0 && refused === call.sends : refused > 0;
@@ -54,7 +54,7 @@
 
 function judgeAnswer(
   world: World,
-  call: TicketedWork,
+  call: SoakCall,
   answer: CallResult,
   runs: readonly PlainRun[],
 ): void {
@@ -66,7 +66,7 @@
   findFailure(world, 'wrongAnswers', `${call.name} (${call.kind}) was answered ${body}`);
 }
 
-function countOutcome(world: World, call: TicketedWork): void {
+function countOutcome(world: World, call: SoakCall): void {
   const last = call.answers.at(-1)?.result;
   if (last === undefined) return;
   if (last.type === 'answered') world.findings.answered += 1;
--- a/measurements/soak/runSoak.test.ts
+++ b/measurements/soak/runSoak.test.ts
@@ -153,6 +153,12 @@
     expect(isCaught).toBe(true);
   });
 
+  it('cuts no request when a VM drains that refused work for a while before', () => {
+    const seeds = [156, 462, 3058];
+    const cut = seeds.map((seed) => runSoak(planSoak(seed, 300)).findings.cutStreams);
+    expect(cut).toEqual([0, 0, 0]);
+  });
+
   it('shrinks a failing run to fewer faults that still fail', () => {
     const plan = planSoak(1, 60);
     const shrunk = shrinkSoak(plan, saysNotRun, 6);
--- a/measurements/soak/runSoak.ts
+++ b/measurements/soak/runSoak.ts
@@ -88,7 +88,6 @@
     cutNodes: new Set(),
     storeCutNodes: new Set(),
     nextId: 1,
-    isClosing: false,
     schedule: () => undefined,
     trace: () => undefined,
   };
--- a/measurements/soak/soakCall.ts
+++ b/measurements/soak/soakCall.ts
@@ -8,7 +8,7 @@
 import type { SoakNode, World } from './soakWorld';
 
 /** One call of a caller with everything that came of it. */
-export interface TicketedWork {
+export interface SoakCall {
   readonly name: string;
   readonly kind: CallKind;
   readonly workspace: string;
@@ -63,7 +63,7 @@
   const name = `c${world.nextId}`;
   world.nextId += 1;
   const { kind, caller } = work;
-  const call: TicketedWork = {
+  const call: SoakCall = {
     name,
     kind,
     workspace: workspaces[caller % workspaces.length] ?? '',
@@ -86,7 +86,7 @@
   return world.random.pick(world.nodes);
 }
 
-function askTicket(world: World, work: CallWork, call: TicketedWork, tries: number): void {
+function askTicket(world: World, work: CallWork, call: SoakCall, tries: number): void {
   const held = world.tickets.get(work.caller);
   if (held !== undefined && held.left > 0) {
     held.left -= 1;
@@ -117,7 +117,7 @@
   return world.nodes[index] ?? pickNode(world);
 }
 
-function sendFirst(world: World, work: CallWork, call: TicketedWork, node: SoakNode): void {
+function sendFirst(world: World, work: CallWork, call: SoakCall, node: SoakNode): void {
   send(world, call, node, {});
   if (call.kind === 'once' || call.kind === 'lookup') return;
   if (work.isDoubled) send(world, call, pickNode(world), {});
@@ -127,7 +127,7 @@
   });
 }
 
-function send(world: World, call: TicketedWork, node: SoakNode, change: Partial<PlainCall>): void {
+function send(world: World, call: SoakCall, node: SoakNode, change: Partial<PlainCall>): void {
   const isMisuse = change.body !== undefined;
   if (!isMisuse) {
     call.sends += 1;
@@ -157,7 +157,7 @@
   }));
 }
 
-function note(world: World, call: TicketedWork, noted: CallerAnswer): void {
+function note(world: World, call: SoakCall, noted: CallerAnswer): void {
   call.answers.push(noted);
   const answer = noted.result;
   const outcome = answer.type === 'answered' ? 'answered' : answer.refusal.outcome;
@@ -170,14 +170,14 @@
 }
 
 /** A caller whose home may be gone asks for a new ticket before its next call. */
-function dropTicket(world: World, call: TicketedWork): void {
+function dropTicket(world: World, call: SoakCall): void {
   for (const [caller, { ticket }] of world.tickets) {
     if (call.id?.startsWith(ticket) === true) world.tickets.delete(caller);
   }
 }
 
 /** A copy that comes late, as from a queue that was not cleared. */
-function repeat(world: World, call: TicketedWork): void {
+function repeat(world: World, call: SoakCall): void {
   if (call.id === undefined) return;
   call.isRepeated = false;
   world.schedule(world.random.next() * MAX_REPEAT_MS, () => {
@@ -186,7 +186,7 @@
 }
 
 /** Sends again under the same id; a call without one is never repeated. */
-function retry(world: World, call: TicketedWork): void {
+function retry(world: World, call: SoakCall): void {
   if (call.id === undefined || call.sends >= MAX_SENDS) return;
   world.schedule(world.random.next() * MAX_PAUSE_MS, () => {
     const asksOutcome = call.kind !== 'own-key' && world.random.next() < 0.2;
--- a/measurements/soak/soakWorld.ts
+++ b/measurements/soak/soakWorld.ts
@@ -1,7 +1,7 @@
 /** Everything that a run consists of, in one mutable object under a virtual clock. */
 
 import type { Row } from '../../src/contracts/table';
-import type { TicketedWork } from './soakCall';
+import type { SoakCall } from './soakCall';
 import type { NodeEvent, SideEffects, SideEvents, SideName } from '../../src/node/nodeMessage';
 import type { Node, Sides } from '../../src/node/createNodeReducer';
 import type { OperationsState } from '../../src/operations/operationsState';
@@ -80,7 +80,7 @@
   readonly servers: ReadonlyMap<string, SoakServer>;
   readonly engines: ReadonlyMap<string, SoakEngine>;
   readonly runs: PlainRun[];
-  readonly calls: TicketedWork[];
+  readonly calls: SoakCall[];
   /** Ticket that each caller numbers its calls under. */
   readonly tickets: Map<number, HeldTicket>;
   /** Requests of which an engine ran something. */
@@ -102,8 +102,6 @@
   cutNodes: ReadonlySet<number>;
   storeCutNodes: ReadonlySet<number>;
   nextId: number;
-  /** Set at the end, when nothing periodic is started again. */
-  isClosing: boolean;
   readonly schedule: (afterMs: number, run: () => void) => void;
   /** Notes a line of the trace; kept only while a failure is shrunk. */
   readonly trace: (line: string) => void;
--- a/measurements/soak/startNode.ts
+++ b/measurements/soak/startNode.ts
@@ -86,7 +86,7 @@
 }
 
 function tickPlans(world: World, node: SoakNode): void {
-  if (!node.isUp || world.isClosing) return;
+  if (!node.isUp) return;
   const wallMs = WALL_START_MS + Math.floor(world.nowMs);
   const id = `tick-${node.index}-${world.nextId}`;
   world.nextId += 1;
