--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -8,6 +8,7 @@
 import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { operations } from './operations';
 import { overload } from './overload';
 import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
@@ -16,6 +17,7 @@
   configuration,
   daemon,
   membership,
+  operations,
   overload,
   plansFaults,
   throughput,
