Meter control, confirm deaths by own probes, and bound the reports of use

Bursts between regions overtake each other by more than 32 sequence numbers, so honest datagrams were dropped as replayed. Change: a replay window of 1024; a suspicion becomes a death only on a VM whose own probe failed too, and a refutation goes out at once; reports of use take turns, four datagrams a second; digests that bring nothing new are skipped early; the measurement 'control' with datagrams sealed as in the daemon. Ruled out: a longer suspicion, which delays every detection. Measured: tests of src/vms and src/configuration pass.

--- a/measurements/createVirtualVm.ts
+++ b/measurements/createVirtualVm.ts
@@ -1,5 +1,7 @@
 /** Makes a VM of the virtual network, not yet started. */
 
+import { OrderedMap } from 'immutable';
+import type { ReplayWindow } from '../src/vms/datagram';
 import { createFleet } from '../src/vms/createFleet';
 import type { VirtualVm } from './virtualVm';
 
@@ -42,7 +44,11 @@
     pausedUntilMs: 0,
     clockOffsetMs,
     timers: new Map(),
+    sequence: 0,
+    windows: OrderedMap<string, ReplayWindow>(),
     sentBytes: 0,
+    receivedBytes: 0,
+    largestBytes: 0,
     sentDatagrams: 0,
     messageBytes: 0,
     storeCalls: 0,
--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,11 +5,13 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { control } from './control';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  control,
   membership,
 };
 
--- a/src/vms/admitSequence.ts
+++ b/src/vms/admitSequence.ts
@@ -24,16 +24,17 @@
 function moveOn(before: ReplayWindow | undefined, envelope: Envelope): ReplayWindow | undefined {
   const { incarnation, sequence } = envelope;
   if (before === undefined || incarnation > before.incarnation) {
-    return { incarnation, highest: sequence, seen: 1 };
+    return { incarnation, highest: sequence, seen: 1n };
   }
   if (incarnation < before.incarnation) return undefined;
   const ahead = sequence - before.highest;
   if (ahead > 0) {
-    const seen = ahead >= REPLAY_WINDOW ? 1 : ((before.seen << ahead) | 1) >>> 0;
+    const moved = ahead >= REPLAY_WINDOW ? 0n : before.seen << BigInt(ahead);
+    const seen = BigInt.asUintN(REPLAY_WINDOW, moved) | 1n;
     return { incarnation, highest: sequence, seen };
   }
   if (-ahead >= REPLAY_WINDOW) return undefined;
-  const bit = (1 << -ahead) >>> 0;
-  if ((before.seen & bit) !== 0) return undefined;
-  return { ...before, seen: (before.seen | bit) >>> 0 };
+  const bit = 1n << BigInt(-ahead);
+  if ((before.seen & bit) !== 0n) return undefined;
+  return { ...before, seen: before.seen | bit };
 }
--- a/src/vms/createFleet.ts
+++ b/src/vms/createFleet.ts
@@ -38,6 +38,7 @@
       ownUses: ImmutableMap(),
       reported: ImmutableMap(),
       nextUseAtMs: 0,
+      useTurn: 0,
     },
     standing: createStanding(),
     drain: undefined,
@@ -65,6 +66,8 @@
     ring: [],
     roster: [],
     liveVms: 1,
+    acceptingVms: 0,
+    hashes: [],
   };
 }
 
@@ -92,6 +95,7 @@
     nextWatchAtMs: 0,
     digestAtMs: Infinity,
     nextRelayAtMs: 0,
+    nextJudgeAtMs: 0,
     told: [],
   };
 }
--- a/src/vms/datagram.ts
+++ b/src/vms/datagram.ts
@@ -25,8 +25,11 @@
 /** Longest id of a VM, bytes of UTF-8. */
 export const MAX_ID_BYTES = 64;
 
-/** Sequence numbers behind the highest that may still arrive late. */
-export const REPLAY_WINDOW = 32;
+/**
+ * Sequence numbers behind the highest that may still arrive late. A sender counts its datagrams to all
+ * receivers together, and bursts to many of them may overtake each other on the way between regions.
+ */
+export const REPLAY_WINDOW = 1024;
 
 /** Senders whose sequence numbers are remembered. */
 export const MAX_REPLAY_SENDERS = 2048;
@@ -36,7 +39,7 @@
   readonly incarnation: Incarnation;
   readonly highest: number;
   /** Bit `n` is set where `highest - n` was seen. */
-  readonly seen: number;
+  readonly seen: bigint;
 }
 
 export type ReplayWindows = OrderedMap<VmId, ReplayWindow>;
--- a/src/vms/expireProbes.ts
+++ b/src/vms/expireProbes.ts
@@ -57,9 +57,8 @@
   const isOver = target === undefined || target.status === 'dead' || target.status === 'left';
   if (isOver || probe.stage === 'indirect') {
     const state = withMembership(fleet, { probes: probes.remove(nonce) });
-    return target?.status === 'alive' && target.heardAtMs < probe.startedAtMs
-      ? suspect(state, target, atMs, seed)
-      : { state, effects: [] };
+    const hasFailed = !isOver && target.heardAtMs < probe.startedAtMs;
+    return hasFailed ? fail(state, target, atMs, seed) : { state, effects: [] };
   }
   const next = { ...probe, stage: 'indirect' } as const;
   const state = withMembership(fleet, { probes: probes.set(nonce, next) });
@@ -97,6 +96,13 @@
   );
 }
 
+function fail(fleet: Fleet, target: Member, atMs: number, seed: number): FleetDecision {
+  const failed = { ...target, failedAtMs: atMs };
+  const { members } = fleet.membership;
+  const state = withMembership(fleet, { members: members.set(target.id, failed) });
+  return target.status === 'alive' ? suspect(state, failed, atMs, seed) : { state, effects: [] };
+}
+
 /** The suspect itself is told too, so that it can refute at once. */
 function suspect(fleet: Fleet, target: Member, atMs: number, seed: number): FleetDecision {
   return chain(
--- a/src/vms/expireSuspicions.ts
+++ b/src/vms/expireSuspicions.ts
@@ -4,12 +4,15 @@
 import type { Fleet, FleetDecision } from './fleet';
 import { SUSPICION_MS_PER_DOUBLING } from './fleetConstants';
 import type { Member } from './member';
+import { probeMember } from './probeMember';
 import { putMember } from './putMember';
 import { sendNews } from './sendNews';
 
 /**
- * Declares dead each member that was suspected for long enough and stayed silent; one that was heard
- * since is cleared. The time grows with the logarithm of the fleet's size, as news does.
+ * Ends each suspicion that has lasted. A member that was heard since is cleared. One that a probe of
+ * this VM's own failed to reach too is declared dead; any other is probed first, so that no VM declares
+ * another dead on hearsay of a suspicion alone. The time grows with the logarithm of the fleet's size,
+ * as news does.
  *
  * @param fleet the state
  * @param atMs now
@@ -25,14 +28,30 @@
     if (member !== undefined && atMs - member.changedAtMs >= limit) due.push(member);
   }
   if (due.length === 0) return { state: fleet, effects: [] };
+  const ended = due.filter((member) => hasEnded(member));
+  const unsure = due.filter((member) => !hasEnded(member) && !isProbed(fleet, member));
   return chain(
     fleet,
-    ...due.map((member) => (state: Fleet) => endSuspicion(state, member, atMs)),
-    (state) => sendNews(state, atMs, seed),
+    ...ended.map((member) => (state: Fleet) => endSuspicion(state, member, atMs)),
+    ...unsure.map((member) => (state: Fleet) => probeMember(state, member, atMs)),
+    (state) => (ended.length === 0 ? { state, effects: [] } : sendNews(state, atMs, seed)),
   );
 }
 
+function wasHeard(member: Member): boolean {
+  return member.heardAtMs > member.changedAtMs;
+}
+
+function hasEnded(member: Member): boolean {
+  const hasFailed = member.failedAtMs >= member.changedAtMs;
+  return wasHeard(member) || hasFailed;
+}
+
+function isProbed(fleet: Fleet, member: Member): boolean {
+  return fleet.membership.probes.some((probe) => probe.target === member.id);
+}
+
 function endSuspicion(fleet: Fleet, member: Member, atMs: number): FleetDecision {
-  const wasHeard = member.heardAtMs > member.changedAtMs;
-  return putMember(fleet, member, { ...member, status: wasHeard ? 'alive' : 'dead' }, atMs);
+  const status = wasHeard(member) ? 'alive' : 'dead';
+  return putMember(fleet, member, { ...member, status }, atMs);
 }
--- a/src/vms/fleet.ts
+++ b/src/vms/fleet.ts
@@ -37,6 +37,8 @@
   /** Keyed by `workspace`, then by VM; kept by the VM that sums the workspace. */
   readonly reported: ImmutableMap<WorkspaceId, ImmutableMap<string, ReportedUse>>;
   readonly nextUseAtMs: number;
+  /** Where the reports to summing VMs go on. */
+  readonly useTurn: number;
 }
 
 /** Whether this VM takes new work, and why not. */
--- a/src/vms/fleetConstants.ts
+++ b/src/vms/fleetConstants.ts
@@ -3,6 +3,9 @@
 /** Name of the one timer that drives everything periodic here. */
 export const TICK_TIMER = 'tick';
 
+/** Time between two judgements of backend servers, milliseconds. */
+export const JUDGE_PERIOD_MS = 200;
+
 /** Time between two ticks, milliseconds. */
 export const TICK_MS = 100;
 
@@ -70,7 +73,10 @@
 export const RUMOR_SENDS_PER_DOUBLING = 2;
 
 /** Times that a member's new revision is passed on, for each doubling of the fleet. */
-export const APPLIED_SENDS_PER_DOUBLING = 0.5;
+export const APPLIED_SENDS_PER_DOUBLING = 1;
+
+/** Times that a full record is passed on, for each doubling; who lacks it still asks for it. */
+export const INTRODUCTION_SENDS_PER_DOUBLING = 0.5;
 
 /** Members that one datagram tells of. */
 export const MAX_ENTRIES_PER_DATAGRAM = 24;
@@ -135,8 +141,8 @@
 /** Without newer word than this, a VM probes a backend server itself, milliseconds. */
 export const OWN_PROBE_MS = 1800;
 
-/** Probes of its own that a VM starts in one tick, beside those it owes as a watcher. */
-export const MAX_OWN_PROBES_PER_TICK = 10;
+/** Probes of its own that a VM starts with one judgement, beside those it owes as a watcher. */
+export const MAX_OWN_PROBES = 20;
 
 /** Digests of backend servers in one datagram. */
 export const MAX_DIGESTS_PER_DATAGRAM = 40;
@@ -192,8 +198,11 @@
 /** Uses of single VMs that a summing VM remembers. */
 export const MAX_SUMMED_USES = 20_000;
 
+/** Datagrams with reports of use that one VM sends in one period; further workspaces wait their turn. */
+export const MAX_USE_DATAGRAMS = 4;
+
 /** A use older than this counts as none, milliseconds. */
-export const FORGET_USE_MS = 5000;
+export const FORGET_USE_MS = 15_000;
 
 /** Time for which an answer with addresses stays good, milliseconds. */
 export const ANSWER_VALID_MS = 8000;
--- a/src/vms/handleDatagram.ts
+++ b/src/vms/handleDatagram.ts
@@ -15,6 +15,7 @@
 import { learnHead } from './learnHead';
 import { learnRecord } from './learnRecord';
 import { sendGossip } from './sendGossip';
+import { sendNews } from './sendNews';
 import { takeSuspectTuples } from './shareSuspects';
 import { learnSums, takeUses } from './shareUse';
 import { takeDigests } from './takeDigests';
@@ -79,6 +80,7 @@
     ),
     (state) => ({ state: hearSender(state, gossip, atMs), effects: [] }),
     ...entries.map((entry) => (state: Fleet) => learnEntry(state, entry, atMs)),
+    (state) => refute(fleet, state, event),
     (state) => askForUnknown(state, gossip, atMs),
     (state) => fetchConfiguration(learnHead(state, gossip.h), atMs, seed),
     (state) => takeDigests(state, gossip.s ?? [], atMs, seed),
@@ -86,6 +88,17 @@
   );
 }
 
+/** A VM that was under suspicion tells the one that said so, and some others, at once. */
+function refute(before: Fleet, fleet: Fleet, event: DatagramEvent): FleetDecision {
+  if (fleet.membership.version === before.membership.version) return { state: fleet, effects: [] };
+  const { from, atMs, seed } = event;
+  return chain(
+    fleet,
+    (state) => sendGossip(state, { kind: 'news', to: from, nonce: 0 }, atMs),
+    (state) => sendNews(state, atMs, seed),
+  );
+}
+
 /** Entries of VMs, or of lives of VMs, whose full record is not here. */
 function askForUnknown(fleet: Fleet, gossip: Gossip, atMs: number): FleetDecision {
   const { members } = fleet.membership;
--- a/src/vms/handleTick.ts
+++ b/src/vms/handleTick.ts
@@ -6,7 +6,7 @@
 import { expireSuspicions } from './expireSuspicions';
 import { fetchConfiguration } from './fetchConfiguration';
 import type { Fleet, FleetDecision } from './fleet';
-import { TICK_MS, TICK_TIMER } from './fleetConstants';
+import { JUDGE_PERIOD_MS, TICK_MS, TICK_TIMER } from './fleetConstants';
 import { forgetMembers } from './forgetMembers';
 import { finishDrain } from './handleDrain';
 import { judgeServers } from './judgeServers';
@@ -15,7 +15,7 @@
 import { refreshViews } from './refreshViews';
 import { reportUse } from './shareUse';
 import { startRound } from './startRound';
-import { watchServers } from './watchServers';
+import { probeOld, watchServers } from './watchServers';
 
 /** Does what is due and sets the timer again. */
 export function handleTick(fleet: Fleet, atMs: number, seed: number): FleetDecision {
@@ -36,8 +36,19 @@
     (state) => judgeStanding(state, atMs, seed),
     (state) => acceptConfiguration(state, atMs),
     (state) => watchServers(state, atMs),
-    (state) => judgeServers(state, atMs),
+    (state) => judgeInTurn(state, atMs),
     (state) => reportUse(state, atMs),
     (state) => finishDrain(state, atMs, seed),
   );
 }
+
+/** Judging goes over all servers in scope, so it has a period of its own. */
+function judgeInTurn(fleet: Fleet, atMs: number): FleetDecision {
+  if (atMs < fleet.servers.nextJudgeAtMs) return { state: fleet, effects: [] };
+  const servers = { ...fleet.servers, nextJudgeAtMs: atMs + JUDGE_PERIOD_MS };
+  return chain(
+    { ...fleet, servers },
+    (state) => probeOld(state, atMs),
+    (state) => judgeServers(state, atMs),
+  );
+}
--- a/src/vms/learnRecord.ts
+++ b/src/vms/learnRecord.ts
@@ -1,7 +1,7 @@
 /** Takes in the full record of a VM: one that was unknown, or a new life of a known one. */
 
 import type { Fleet, FleetDecision } from './fleet';
-import { MAX_MEMBERS } from './fleetConstants';
+import { INTRODUCTION_SENDS_PER_DOUBLING, MAX_MEMBERS } from './fleetConstants';
 import type { Member } from './member';
 import { spread } from './spread';
 import type { Vm } from './vm';
@@ -34,7 +34,9 @@
     members: members.set(vm.id, member),
     suspected: isNewLife ? suspected.filter((id) => id !== vm.id) : suspected,
     rumors: isNews ? spread(rumors, vm.id, liveVms) : rumors,
-    introductions: isNews ? spread(introductions, vm.id, liveVms) : introductions,
+    introductions: isNews
+      ? spread(introductions, vm.id, liveVms, INTRODUCTION_SENDS_PER_DOUBLING)
+      : introductions,
     isChanged: true,
   });
   return {
@@ -61,6 +63,7 @@
     applied: 0,
     vm,
     heardAtMs: -Infinity,
+    failedAtMs: -Infinity,
     changedAtMs: atMs,
     listing: known?.listing ?? 'never',
   };
--- a/src/vms/member.ts
+++ b/src/vms/member.ts
@@ -23,6 +23,8 @@
   readonly vm: Vm;
   /** When a datagram came straight from it, this node's clock, milliseconds. */
   readonly heardAtMs: number;
+  /** When a probe of this VM's own, direct and by others, last failed, milliseconds. */
+  readonly failedAtMs: number;
   /** When its status last changed here, milliseconds. */
   readonly changedAtMs: number;
   /** What the platform's list said of it last; `never` where it has not named it yet. */
--- a/src/vms/membership.ts
+++ b/src/vms/membership.ts
@@ -25,6 +25,12 @@
   readonly sends: number;
 }
 
+/** A VM's id with its hash, worked out once. */
+export interface HashedVm {
+  readonly id: VmId;
+  readonly hash: number;
+}
+
 export interface Membership {
   /** All VMs known, without this one. */
   readonly members: ImmutableMap<VmId, Member>;
@@ -58,4 +64,8 @@
   readonly roster: readonly VmId[];
   /** Live VMs, this one included. */
   readonly liveVms: number;
+  /** Live VMs that take new work and do not drain, this one included. */
+  readonly acceptingVms: number;
+  /** Hashes of the ids of live VMs, this one included. */
+  readonly hashes: readonly HashedVm[];
 }
--- a/src/vms/refreshViews.ts
+++ b/src/vms/refreshViews.ts
@@ -23,17 +23,18 @@
   const live = [...fleet.membership.members.values()].filter(isLive);
   const local = live.filter((member) => member.vm.region === fleet.vm.region);
   const ring = [fleet.vm.id, ...local.map((member) => member.id)].sort();
+  const acceptingVms = countAccepting(fleet, live);
   const state = withMembership(fleet, {
     isChanged: false,
     ring,
     roster: [...fleet.membership.members.keys()].sort(),
     liveVms: live.length + 1,
+    acceptingVms,
+    hashes: [fleet.vm.id, ...live.map(({ id }) => id)].map((id) => ({ id, hash: hash32(id) })),
   });
   return {
     state: { ...state, servers: { ...state.servers, isStale: true } },
-    effects: [
-      { type: 'vms-changed', vms: live.map(toPeer), acceptingVms: countAccepting(state, live) },
-    ],
+    effects: [{ type: 'vms-changed', vms: live.map(toPeer), acceptingVms }],
   };
 }
 
--- a/src/vms/serverRecord.ts
+++ b/src/vms/serverRecord.ts
@@ -52,6 +52,7 @@
   /** When the digests of the last round go out; Infinity where they did. */
   readonly digestAtMs: number;
   readonly nextRelayAtMs: number;
+  readonly nextJudgeAtMs: number;
   /** What `servers-changed` last told, to tell only of changes. */
   readonly told: readonly ServerHealth[];
 }
--- a/src/vms/shareUse.ts
+++ b/src/vms/shareUse.ts
@@ -12,12 +12,12 @@
 import {
   FORGET_USE_MS,
   MAX_SUMMED_USES,
+  MAX_USE_DATAGRAMS,
   MAX_USES_PER_DATAGRAM,
   MAX_USES_PER_PERIOD,
   USE_PERIOD_MS,
 } from './fleetConstants';
 import type { UseTuple } from './gossip';
-import { isLive } from './isLive';
 import { mixHashes } from './mixHashes';
 import { sendGossip } from './sendGossip';
 import type { Address, VmId } from './vm';
@@ -35,17 +35,24 @@
   return { state: withSharing(fleet, { ownUses }), effects: [] };
 }
 
-/** Reports the own use to the VMs that sum it, where that is due. */
+/**
+ * Reports the own use to the VMs that sum it, where that is due: to some of them in each period, in
+ * turn, so that the cost does not grow with the workspaces.
+ */
 export function reportUse(fleet: Fleet, atMs: number): FleetDecision {
   const { nextUseAtMs, ownUses } = fleet.sharing;
   if (atMs < nextUseAtMs) return { state: fleet, effects: [] };
   const due = Math.max(nextUseAtMs, atMs - USE_PERIOD_MS) + USE_PERIOD_MS;
   const state = withSharing(fleet, { nextUseAtMs: due, reported: forgetUses(fleet, atMs) });
   if (ownUses.isEmpty()) return { state, effects: [] };
-  const groups = ownUses.toList().groupBy((use) => chooseSummer(fleet, use.workspace));
+  const groups = [...ownUses.toList().groupBy((use) => chooseSummer(fleet, use.workspace))].sort(
+    ([one], [other]) => (one < other ? -1 : 1),
+  );
+  const from = fleet.sharing.useTurn % groups.length;
+  const inTurn = [...groups.slice(from), ...groups.slice(0, from)].slice(0, MAX_USE_DATAGRAMS);
   return chain(
-    state,
-    ...[...groups].map(([summer, uses]) => (next: Fleet) => {
+    withSharing(state, { useTurn: from + MAX_USE_DATAGRAMS }),
+    ...inTurn.map(([summer, uses]) => (next: Fleet) => {
       if (summer !== fleet.vm.id) return sendUses(next, summer, uses.toArray(), atMs);
       return sumOwnUses(next, uses.toArray(), atMs);
     }),
@@ -75,10 +82,7 @@
 }
 
 function tellUses(fleet: Fleet, uses: readonly WorkspaceUse[]): FleetDecision {
-  const isCounted = (member: { isAccepting: boolean; isDraining: boolean }): boolean =>
-    member.isAccepting && !member.isDraining;
-  const others = fleet.membership.members.count((member) => isLive(member) && isCounted(member));
-  const acceptingVms = others + (fleet.standing.isAccepting ? 1 : 0);
+  const { acceptingVms } = fleet.membership;
   return { state: fleet, effects: [{ type: 'use-learned', uses, acceptingVms }] };
 }
 
@@ -136,14 +140,13 @@
 }
 
 function chooseSummer(fleet: Fleet, workspace: WorkspaceId): VmId {
-  const hash = hash32(workspace);
+  const own = hash32(workspace);
   let best = fleet.vm.id;
-  let bestScore = mixHashes(hash, hash32(best));
-  for (const member of fleet.membership.members.values()) {
-    if (!isLive(member)) continue;
-    const score = mixHashes(hash, hash32(member.id));
+  let bestScore = -1;
+  for (const { id, hash } of fleet.membership.hashes) {
+    const score = mixHashes(own, hash);
     if (score > bestScore) {
-      best = member.id;
+      best = id;
       bestScore = score;
     }
   }
--- a/src/vms/takeDigests.ts
+++ b/src/vms/takeDigests.ts
@@ -1,6 +1,5 @@
 /** Takes in the digests of backend servers that a datagram brought. */
 
-import { z } from 'zod';
 import { chain } from './chain';
 import type { Fleet, FleetDecision } from './fleet';
 import type { DigestTuple } from './gossip';
@@ -8,10 +7,10 @@
 import { learnWord } from './learnWord';
 import { shareLeaving } from './shareLeaving';
 
-/** Age, sequence, running, queued, KV tokens used and in total, step in microseconds. */
-const loadSchema = z
-  .tuple([z.number(), z.number(), z.number(), z.number(), z.number(), z.number(), z.number()])
-  .rest(z.unknown());
+/** A load in a digest: age, sequence, running, queued, KV tokens used and in total, step time. */
+const LOAD_FIELDS = 7;
+
+type LoadNumbers = readonly [number, number, number, number, number, number, number];
 
 /**
  * Merges digests. While this VM may just have woken from a pause they are ignored: their ages were
@@ -43,6 +42,9 @@
     incarnation,
     via: isRelayed === 1 ? 'relay' : 'watcher',
   } as const;
+  const known = fleet.servers.records.get(server)?.word;
+  const isSame = known?.state === word.state && known.incarnation === incarnation;
+  if (isSame && known.observedAtMs >= word.observedAtMs) return { state: fleet, effects: [] };
   return chain(
     fleet,
     (next) => learnWord(next, server, word),
@@ -57,9 +59,10 @@
   rest: readonly unknown[],
   atMs: number,
 ): FleetDecision {
-  const load = loadSchema.safeParse(rest);
-  if (!load.success) return { state: fleet, effects: [] };
-  const [ageMs, sequence, running, queued, kvTokensUsed, kvTokensTotal, stepMicros] = load.data;
+  const numbers = rest.slice(0, LOAD_FIELDS).filter((item) => typeof item === 'number');
+  if (numbers.length < LOAD_FIELDS) return { state: fleet, effects: [] };
+  const [ageMs, sequence, running, queued, kvTokensUsed, kvTokensTotal, stepMicros] =
+    numbers as unknown as LoadNumbers;
   const leaving = fleet.servers.records.get(engine)?.word?.state === 'leaving';
   const report = {
     engine,
--- a/src/vms/watchServers.ts
+++ b/src/vms/watchServers.ts
@@ -6,7 +6,7 @@
 import {
   DIGEST_DELAY_MS,
   FRESH_MS,
-  MAX_OWN_PROBES_PER_TICK,
+  MAX_OWN_PROBES,
   OWN_PROBE_MS,
   WATCH_PERIOD_MS,
 } from './fleetConstants';
@@ -33,7 +33,6 @@
   return chain(
     fleet,
     (state) => probeWatched(state, atMs),
-    (state) => probeOld(state, atMs),
     (state) => sendOwnDigests(state, atMs),
     (state) => relayDigests(state, atMs),
   );
@@ -60,10 +59,11 @@
   );
 }
 
-function probeOld(fleet: Fleet, atMs: number): FleetDecision {
+/** Probes the servers in scope whose word grows old, whoever watches them. */
+export function probeOld(fleet: Fleet, atMs: number): FleetDecision {
   const old: string[] = [];
   for (const { id } of fleet.servers.scope) {
-    if (old.length >= MAX_OWN_PROBES_PER_TICK) break;
+    if (old.length >= MAX_OWN_PROBES) break;
     const { word, probedAtMs } = serverRecordOf(fleet, id);
     const isOld = word === undefined || atMs - word.observedAtMs > OWN_PROBE_MS;
     if (isOld && atMs - probedAtMs > WATCH_PERIOD_MS / 2) old.push(id);
