--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -6,13 +6,21 @@
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
 import { control } from './control';
+import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { overload } from './overload';
+import { plansFaults } from './plansFaults';
+import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   control,
+  daemon,
   membership,
+  overload,
+  plansFaults,
+  throughput,
 };
 
 async function main(): Promise<void> {
