--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,6 +5,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { control } from './control';
 import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
@@ -15,6 +16,7 @@
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  control,
   daemon,
   membership,
   operations,
