--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -6,12 +6,14 @@
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
 import type { Measurement } from './measurement';
+import { placement } from './placement';
 import { plansFaults } from './plansFaults';
 import { membership } from './membership';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   membership,
+  placement,
   'plans-faults': plansFaults,
 };
 
