--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,16 +5,22 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { placement } from './placement';
-import { plansFaults } from './plansFaults';
 import { membership } from './membership';
+import { overload } from './overload';
+import { plansFaults } from './plansFaults';
+import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  daemon,
   membership,
   placement,
   'plans-faults': plansFaults,
+  overload,
+  throughput,
 };
 
 async function main(): Promise<void> {
