--- a/src/plans/placement/improvePlacement.ts
+++ b/src/plans/placement/improvePlacement.ts
@@ -12,8 +12,8 @@
 import { isBetter, scorePlacement, type ModelScores } from './scorePlacement';
 
 /** Temperatures at the start and at the end; 1 is worth one survival, or all of the demand. */
-const HOT = 0.4;
-const COLD = 0.005;
+const HOT = 0.3;
+const COLD = 0.05;
 
 /** A change of a placement, made in place. */
 type Change = (problem: PlacementProblem, placement: Map<string, Placed>, random: Random) => void;
@@ -29,14 +29,15 @@
  * @param start where to begin
  * @param random draws the changes
  * @param tries placements that are scored
+ * @param known scores met before in the same problem; filled on the way
  */
 export function improvePlacement(
   problem: PlacementProblem,
   start: Placement,
   random: Random,
   tries: number,
+  known: ModelScores = new Map(),
 ): Placement {
-  const known: ModelScores = new Map();
   const demand = problem.models.reduce((sum, model) => sum + model.demand, 0);
   const worth = ({ survivals, served }: PlacementScore): number => survivals + served / demand;
   let current = start;
--- a/src/plans/placement/placeModels.ts
+++ b/src/plans/placement/placeModels.ts
@@ -4,7 +4,7 @@
 import { buildPipelines } from './buildPipelines';
 import { improvePlacement } from './improvePlacement';
 import type { Placed, Placement, PlacementProblem } from './placement';
-import { isBetter, scoreModel, scorePlacement } from './scorePlacement';
+import { isBetter, scoreModel, scorePlacement, type ModelScores } from './scorePlacement';
 
 export interface PlaceOptions {
   readonly seed: number;
@@ -18,10 +18,10 @@
 const SMALL_ENGINES = 12;
 
 /** Placements scored on a small problem. */
-const SMALL_TRIES = 40_000;
+const SMALL_TRIES = 120_000;
 
 /** Starts of the search on a small problem. */
-const STARTS = 4;
+const STARTS = 48;
 
 /** Share of the throughput that least movement may cost. */
 const MOVEMENT_SHARE = 0.03;
@@ -56,9 +56,10 @@
   tries: number,
 ): Placement {
   const random = createRandom(seed);
+  const known: ModelScores = new Map();
   const starts = [built, ...Array.from({ length: STARTS - 1 }, (): Placement => new Map())];
   return starts
-    .map((start) => improvePlacement(problem, start, random, tries / STARTS))
+    .map((start) => improvePlacement(problem, start, random, tries / STARTS, known))
     .reduce((one, other) =>
       isBetter(scorePlacement(problem, other), scorePlacement(problem, one)) ? other : one,
     );
