Propose a repair where an engine in use stays lost

Cause: a lost engine was routed around, but nobody said how to mend it. Change: after 10 s every VM works out the same repair plan, stored once: the fastest idle engine that fits takes over, without a word from the lost one. It is proposed, never carried out by itself. New intent replace-engine. Not done: classes of repairs confirmed beforehand; a failure domain is repaired engine by engine.

--- a/src/plans/createPlans.ts
+++ b/src/plans/createPlans.ts
@@ -1,6 +1,6 @@
 /** The plans side of a node that has just started. */
 
-import { Map as ImmutableMap } from 'immutable';
+import { Map as ImmutableMap, Set as ImmutableSet } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
 import { NO_AUDIT_HEAD, NO_HEAD } from './learnHeads';
 import type { Plans, PlansOptions } from './planState';
@@ -22,7 +22,8 @@
     auditHead: NO_AUDIT_HEAD,
     executions: ImmutableMap(),
     observed: ImmutableMap(),
-    lost: new Set(),
+    lost: ImmutableMap(),
+    proposed: ImmutableSet(),
     scanAtMs: 0,
   };
 }
--- a/src/plans/intent.ts
+++ b/src/plans/intent.ts
@@ -27,6 +27,12 @@
       readonly engine?: Engine;
     }
   | { readonly type: 'retire-backend-server'; readonly server: BackendServerId }
+  /** Lets an idle engine take over the layers of one that is lost. */
+  | {
+      readonly type: 'replace-engine';
+      readonly lost: BackendServerId;
+      readonly by: BackendServerId;
+    }
   | { readonly type: 'retire-vm'; readonly vm: VmId }
   | { readonly type: 'put-workspace'; readonly workspace: Workspace }
   | {
--- a/src/plans/parseIntent.ts
+++ b/src/plans/parseIntent.ts
@@ -29,6 +29,7 @@
     engine: objectSchemas.engine.optional(),
   }),
   z.object({ type: z.literal('retire-backend-server'), server: id }),
+  z.object({ type: z.literal('replace-engine'), lost: id, by: id }),
   z.object({ type: z.literal('retire-vm'), vm: id }),
   z.object({ type: z.literal('put-workspace'), workspace: objectSchemas.workspace }),
   z.object({
--- a/src/plans/planIntent.ts
+++ b/src/plans/planIntent.ts
@@ -12,6 +12,7 @@
 import { planMoveModel } from './planMoveModel';
 import { planPutService } from './planPutService';
 import { planPutWorkspace } from './planPutWorkspace';
+import { planReplaceEngine } from './planReplaceEngine';
 import { planRetireServer } from './planRetireServer';
 import { planRetireService } from './planRetireService';
 import { planRetireVm } from './planRetireVm';
@@ -31,6 +32,7 @@
   'move-model': planMoveModel,
   'add-backend-server': planAddServer,
   'retire-backend-server': planRetireServer,
+  'replace-engine': planReplaceEngine,
   'retire-vm': planRetireVm,
   'put-workspace': planPutWorkspace,
   'set-engine': planSetEngine,
--- a/src/plans/planLimits.ts
+++ b/src/plans/planLimits.ts
@@ -68,5 +68,8 @@
 /** Time a drain may take before the plan is undone, milliseconds. */
 export const DRAIN_LIMIT_MS = 900 * MS_PER_SECOND;
 
+/** How long an engine is lost before a repair is proposed, milliseconds. */
+export const REPAIR_AFTER_MS = 10 * MS_PER_SECOND;
+
 /** Rate at which the weight store serves all engines together, bytes a second. */
 export const WEIGHT_STORE_BYTES_PER_SECOND = 1000 * BYTES_PER_MIB;
--- a/src/plans/planState.ts
+++ b/src/plans/planState.ts
@@ -1,6 +1,6 @@
 /** State of the plans side of one node. Everything in it is soft: the rows are the truth. */
 
-import type { Map as ImmutableMap } from 'immutable';
+import type { Map as ImmutableMap, Set as ImmutableSet } from 'immutable';
 import type { Configuration, RevisionNumber } from '../configuration/configuration';
 import type { RowVersion } from '../contracts/table';
 import type { CallId } from '../decisions/primitive';
@@ -45,8 +45,10 @@
   /** Plans that this VM carries out. */
   readonly executions: ImmutableMap<PlanId, Execution>;
   readonly observed: ImmutableMap<PlanId, ObservedLease>;
-  /** Backend servers that cannot be used now, as the fleet side says. */
-  readonly lost: ReadonlySet<string>;
+  /** Backend servers that cannot be used, as the fleet side says, and since when, milliseconds. */
+  readonly lost: ImmutableMap<string, number>;
+  /** Lost engines for which this VM has proposed a repair. */
+  readonly proposed: ImmutableSet<string>;
   /** When the next look for running plans is due. */
   readonly scanAtMs: number;
 }
--- /dev/null
+++ b/src/plans/proposeRepairs.test.ts
@@ -0,0 +1,54 @@
+import { findViolations, planRecords } from './testing/findViolations';
+import { confirmIntent } from './testing/confirmIntent';
+import type { PlanBench } from './testing/planBench';
+import { prepareBench } from './testing/prepareBench';
+import { engineOf, serviceIntent } from './testing/siteIntents';
+
+/** e1 and e2 work for model desk, e3 is idle. */
+function prepareSpare(): PlanBench {
+  const engines = [engineOf('e1'), engineOf('e2'), engineOf('e3', { role: 'idle' })];
+  const bench = prepareBench({ engines, count: 3 });
+  confirmIntent(bench, serviceIntent('repairs'));
+  return bench;
+}
+
+describe('proposeRepairs', () => {
+  it('proposes one repair from all VMs, says what it restores, and changes nothing', () => {
+    const bench = prepareSpare();
+    const before = bench.configuration();
+    bench.lose(['e1']);
+    bench.run(60_000);
+    const repairs = planRecords(bench).filter(({ intent }) => intent.type === 'replace-engine');
+    expect(repairs.map(({ status, plan }) => [status, plan.summary])).toEqual([
+      [
+        'proposed',
+        'Replace e1 by e3 for layers 0 to 7 of model desk; restores up to 5555 tokens/s on them',
+      ],
+    ]);
+    expect(bench.configuration()).toEqual(before);
+  });
+
+  it('repairs without a word from the lost engine once an operator confirms', () => {
+    const bench = prepareSpare();
+    const e1 = bench.engines.get('e1');
+    if (e1 === undefined) throw new Error('no e1');
+    e1.isDown = true;
+    bench.lose(['e1']);
+    bench.run(60_000);
+    const [repair] = planRecords(bench).filter(({ status }) => status === 'proposed');
+    bench.ask(1, { type: 'confirm-plan', plan: repair?.plan.id ?? '' });
+    bench.run(20_000);
+    expect(bench.configuration().engine.get('e3')).toMatchObject({ model: 'desk', role: 'mixed' });
+    expect(bench.configuration().engine.get('e1')).toMatchObject({ role: 'idle' });
+    expect(findViolations(bench)).toEqual([]);
+  });
+
+  it('proposes nothing for a short absence', () => {
+    const bench = prepareSpare();
+    bench.lose(['e1']);
+    bench.run(5000);
+    bench.lose([]);
+    bench.run(60_000);
+    expect(planRecords(bench).some(({ intent }) => intent.type === 'replace-engine')).toBe(false);
+  });
+});
--- a/src/plans/reducePlans.ts
+++ b/src/plans/reducePlans.ts
@@ -1,5 +1,6 @@
 /** Every decision of the plans side: operators' asks, the rows, and the steps of running plans. */
 
+import { Map as ImmutableMap } from 'immutable';
 import { createReducer } from '../decisions/createReducer';
 import type { Decision } from '../decisions/decision';
 import type { CallId, Occurrence } from '../decisions/primitive';
@@ -11,6 +12,7 @@
 import { SCAN_INTERVAL_MS } from './planLimits';
 import type { PlanEffect, PlanEvent } from './planMessage';
 import type { Plans } from './planState';
+import { proposeRepairs } from './proposeRepairs';
 import { handleRenewed } from './renewLease';
 import { scanLeases } from './scanLeases';
 import { handleTransacted, settleAgain } from './sendWrite';
@@ -39,14 +41,20 @@
     if (call?.type !== 'read-engine') return { state: next, effects: [] };
     return handleEngineRead(next, call, event.result, event);
   },
-  'servers-changed': (state, { servers }) => {
-    const lost = servers.filter(({ isUsable }) => !isUsable).map(({ server }) => server);
-    return { state: { ...state, lost: new Set(lost) }, effects: [] };
+  'servers-changed': (state, { servers, atMs }) => {
+    const gone = servers.filter(({ isUsable }) => !isUsable).map(({ server }) => server);
+    const lost = ImmutableMap(
+      gone.map((server): [string, number] => [server, state.lost.get(server) ?? atMs]),
+    );
+    const proposed = state.proposed.filter((server) => lost.has(server));
+    return { state: { ...state, lost, proposed }, effects: [] };
   },
   ticked: (state, event) => {
     const heard = { ...state, wallOffsetMs: event.wallMs - event.atMs };
-    if (event.atMs < state.scanAtMs) return { state: heard, effects: [] };
-    return scanLeases({ ...heard, scanAtMs: event.atMs + scanPause(event) });
+    const repair = proposeRepairs(heard, event);
+    if (event.atMs < state.scanAtMs) return repair;
+    const scan = scanLeases({ ...repair.state, scanAtMs: event.atMs + scanPause(event) });
+    return { state: scan.state, effects: [...repair.effects, ...scan.effects] };
   },
   'timer-fired': (state, event) => {
     const call = state.open.get(event.timer);
--- a/src/plans/testing/planBench.ts
+++ b/src/plans/testing/planBench.ts
@@ -71,6 +71,8 @@
   readonly run: (forMs: number) => void;
   readonly pause: (node: number, forMs: number) => void;
   readonly restart: (node: number) => void;
+  /** Tells all nodes which backend servers cannot be used. */
+  readonly lose: (servers: readonly string[]) => void;
   readonly configuration: () => Configuration;
 }
 
@@ -146,6 +148,10 @@
       node.state = createPlans({ vm: node.vm, holder: `${node.vm}/${node.life}` });
       spread(node);
     },
+    lose: (servers) => {
+      const health = servers.map((server) => ({ server, isUsable: false, weight: 0 }));
+      for (const node of nodes) feed(node, { type: 'servers-changed', servers: health });
+    },
     configuration: () => readConfiguration(table),
   };
 
