--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -10,6 +10,7 @@
 import { placement } from './placement';
 import { membership } from './membership';
 import { overload } from './overload';
+import { plans } from './plans';
 import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
 
@@ -18,6 +19,7 @@
   daemon,
   membership,
   placement,
+  plans,
   'plans-faults': plansFaults,
   overload,
   throughput,
