Name the right revision in audit entries that commit nothing

Cause: an entry written by a VM that had not committed the last revision itself named an older one (planned 6 6 where the head was 7), and a drained engine was entered as ordered. Change: such an entry names the revision of the configuration; drains have an action of their own. Seen: the new test failed before the change by construction (VM 1 had only its own head row); npx jest src/plans/verify src/plans/confirm src/plans/reduce passes.

--- a/src/plans/auditEntry.ts
+++ b/src/plans/auditEntry.ts
@@ -10,6 +10,7 @@
   | 'committed'
   | 'ordering'
   | 'ordered'
+  | 'drained'
   | 'undoing'
   | 'finished'
   | 'denied'
--- a/src/plans/buildTransaction.ts
+++ b/src/plans/buildTransaction.ts
@@ -1,6 +1,6 @@
 /** Turns a ledger write into one transaction of the table service. */
 
-import type { RevisionNumber } from '../configuration/configuration';
+import type { Configuration, RevisionNumber } from '../configuration/configuration';
 import type { RowCondition, RowWrite, Transaction } from '../contracts/table';
 import type { AuditBody, AuditHead } from './auditEntry';
 import { chainAudit } from './chainAudit';
@@ -29,6 +29,8 @@
 
 /** The heads that the transaction is to follow. */
 export interface Heads {
+  /** The configuration, which may be ahead of the head row as it was last read. */
+  readonly configuration: Pick<Configuration, 'revision'>;
   readonly head: Seen<Head>;
   readonly auditHead: Seen<AuditHead>;
 }
@@ -85,10 +87,12 @@
   };
 }
 
-function auditPart(write: LedgerWrite, { head, auditHead }: Heads): Part {
+function auditPart(write: LedgerWrite, { configuration, head, auditHead }: Heads): Part {
   if (write.audit.length === 0) return { conditions: [], writes: [] };
-  const before = head.value.revision;
-  const after = commitsRevision(write) ? before + 1 : before;
+  const isCommit = commitsRevision(write);
+  const known = Math.max(head.value.revision, configuration.revision);
+  const before = isCommit ? head.value.revision : known;
+  const after = isCommit ? before + 1 : before;
   const bodies = write.audit.map((body, index) =>
     withRevisions(body, index === 0 ? before : after, after),
   );
--- a/src/plans/verifyAudit.test.ts
+++ b/src/plans/verifyAudit.test.ts
@@ -62,6 +62,16 @@
     expect(accepted).toEqual(Array.from({ length: revision }, (_item, index) => index + 1));
   });
 
+  it('names the revision that a plan was made on, also on a VM that did not commit it', () => {
+    const bench = prepareBench();
+    confirmIntent(bench, serviceIntent('repairs'));
+    bench.run(1000);
+    const { revision } = bench.configuration();
+    bench.ask(1, { type: 'state-intent', intent: serviceIntent('quotes'), reason: 'r' });
+    bench.run(1000);
+    expect(trailOf(bench).at(-1)).toMatchObject({ action: 'planned', revisionBefore: revision });
+  });
+
   it('is read and checked by read-audit, with its filters', () => {
     const bench = prepareBench();
     confirmIntent(bench, serviceIntent('repairs'));
@@ -75,5 +85,7 @@
     const answered = asked.answer?.body as { entries: AuditEntry[]; chain: unknown };
     expect(answered.chain).toMatchObject({ type: 'whole' });
     expect(answered.entries.map(({ action }) => action)).toEqual(['planned', 'confirmed']);
+    const [planned, confirmed] = answered.entries;
+    expect(planned?.revisionAfter).toBe(confirmed?.revisionBefore);
   });
 });
--- a/src/plans/writeAdvance.ts
+++ b/src/plans/writeAdvance.ts
@@ -109,7 +109,10 @@
   const wallMs = at.atMs + (state.wallOffsetMs ?? 0);
   const who = record.confirmedBy;
   const isCommit = move.type === 'done' && move.commit !== undefined;
-  const actions = isCommit ? (['committed'] as const) : ACTIONS[move.type];
+  const step = currentSteps(record)[record.step];
+  const isDrained = move.type === 'done' && step?.type === 'drain';
+  const done: AuditAction = isDrained ? 'drained' : 'committed';
+  const actions = isCommit || isDrained ? [done] : ACTIONS[move.type];
   const what = describeMove(move);
   const bodies = actions.map((action) => auditBody(record, { wallMs, who, action, what, fencing }));
   if (!isOver) return bodies;
