Let a lost engine be retired

Cause: a dead engine never drains and takes no order, so its retirement was undone every time. Change: where the fleet side says too that it is lost, and it was asked in vain for 20 s, it counts as drained and as told to leave. Ruled out: going by the holder's own failed calls alone; it may be the one that is cut off.

--- a/src/plans/driveExecution.test.ts
+++ b/src/plans/driveExecution.test.ts
@@ -194,6 +194,22 @@
     expect(findViolations(bench)).toEqual([]);
   });
 
+  it('retires an engine that is lost, once the fleet says so too', () => {
+    const { bench } = prepareMove();
+    const e2 = bench.engines.get('e2');
+    if (e2 === undefined) throw new Error('no e2');
+    e2.isDown = true;
+    const plan = proposeIntent(bench, { type: 'retire-backend-server', server: 'e2' });
+    bench.ask(0, { type: 'confirm-plan', plan: plan.id });
+    bench.run(20_000);
+    expect(statusOf(bench, plan)).toBe('running');
+    bench.lose(['e2']);
+    bench.run(100_000);
+    expect(statusOf(bench, plan)).toBe('done');
+    expect(bench.configuration().backendServer.has('e2')).toBe(false);
+    expect(findViolations(bench)).toEqual([]);
+  });
+
   it('undoes a plan whose engine cannot be reached', () => {
     const { bench, plan } = prepareMove();
     const before = objectsOf(bench.configuration());
--- a/src/plans/handleEngineAnswer.ts
+++ b/src/plans/handleEngineAnswer.ts
@@ -7,7 +7,13 @@
 import { currentSteps, driveExecution } from './driveExecution';
 import type { Execution } from './execution';
 import type { OpenCall } from './openCall';
-import { DRAIN_POLL_MS, MAX_ORDER_TRIES, REPORT_LAG_MS, STEP_RETRY_MS } from './planLimits';
+import {
+  DRAIN_POLL_MS,
+  LOST_DRAIN_MS,
+  MAX_ORDER_TRIES,
+  REPORT_LAG_MS,
+  STEP_RETRY_MS,
+} from './planLimits';
 import type { PlanEffect, PlanEvent } from './planMessage';
 import type { VmOrder } from './planRows';
 import type { Plans } from './planState';
@@ -124,6 +130,9 @@
 }
 
 function drained(state: Plans, execution: Execution, result: EngineReading, at: Occurrence): Step {
+  if (result.type === 'unreachable' && isLost(state, execution, at)) {
+    return finishStep(state, execution, 'lost, nothing is left to drain', at);
+  }
   const isIdle = result.type === 'state' && result.running === 0;
   const sinceMs = isIdle ? (execution.idleSinceMs ?? at.atMs) : undefined;
   const next = setExecution(state, execution, { idleSinceMs: sinceMs });
@@ -133,6 +142,14 @@
   return finishStep(next, noted, 'drained', at);
 }
 
+/** Whether the engine of the step has been lost, as the fleet side says too, for long enough. */
+function isLost(state: Plans, { record, stepSinceMs }: Execution, at: Occurrence): boolean {
+  const step = currentSteps(record)[record.step];
+  const engine =
+    step?.type === 'drain' ? step.backendServer : step?.type === 'order' ? step.engine : '';
+  return state.lost.has(engine) && at.atMs - stepSinceMs > LOST_DRAIN_MS;
+}
+
 /** Writes that the step is done; waits where another write, a renewal, is open. */
 function finishStep(state: Plans, execution: Execution, what: string, at: Occurrence): Step {
   if (execution.isWriting)
@@ -147,6 +164,11 @@
 
 function tryAgain(state: Plans, execution: Execution, _result: unknown, at: Occurrence): Step {
   const tries = execution.tries + 1;
+  const step = currentSteps(execution.record)[execution.record.step];
+  const isFarewell = step?.type === 'order' && step.wanted.leaving;
+  if (isFarewell && isLost(state, execution, at)) {
+    return finishStep(state, execution, 'lost, it could not be told to leave', at);
+  }
   const isHopeless = tries >= MAX_ORDER_TRIES && execution.record.status === 'running';
   if (isHopeless) return undo(state, execution, `no answer after ${tries} tries`, at);
   const pauseUntilMs = at.atMs + STEP_RETRY_MS;
--- a/src/plans/planLimits.ts
+++ b/src/plans/planLimits.ts
@@ -65,6 +65,9 @@
 /** How late a load report may be; a drained engine has been idle for longer, milliseconds. */
 export const REPORT_LAG_MS = 3 * MS_PER_SECOND;
 
+/** How long a lost backend server is asked in vain before it counts as drained, milliseconds. */
+export const LOST_DRAIN_MS = 20 * MS_PER_SECOND;
+
 /** Time a drain may take before the plan is undone, milliseconds. */
 export const DRAIN_LIMIT_MS = 900 * MS_PER_SECOND;
 
