--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -11,6 +11,8 @@
 import { membership } from './membership';
 import { operations } from './operations';
 import { overload } from './overload';
+import { placement } from './placement';
+import { plans } from './plans';
 import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
 
@@ -21,6 +23,8 @@
   membership,
   operations,
   overload,
+  placement,
+  plans,
   plansFaults,
   throughput,
 };
