Retire servers and confirm conflicting plans in the demo

Ids for plans are random from their first character, since the plans side keeps eight of them and two intents stated in the same millisecond on one VM got one id.

--- a/demo/acts.ts
+++ b/demo/acts.ts
@@ -1,6 +1,7 @@
 /** The acts of the demo, in order; steady traffic goes on through all of them. */
 
 import { callJson } from './http';
+import { conflict, retire } from './operatorActs';
 import { PLAIN_SERVICES, TOKENS } from './site';
 import { sleep } from './sleep';
 import type { Act, Stage } from './stage';
@@ -125,6 +126,8 @@
 export const acts: readonly Act[] = [
   calm,
   refuseStranger,
+  conflict,
+  retire,
   killStage,
   killVm,
   freezeVm,
--- a/demo/operator.ts
+++ b/demo/operator.ts
@@ -28,18 +28,21 @@
 export function createOperator(url: () => string): DemoOperator {
   const ask: DemoOperator['ask'] = (method, path, body) =>
     callJson(`${url()}/v1/operator${path}`, { method, token: OPERATOR_TOKEN, body });
+  let last: unknown;
   const until = async <Value>(attempt: () => Promise<Value | undefined>): Promise<Value> => {
     const endsAt = Date.now() + PLAN_TIMEOUT_MS;
     for (;;) {
       const value = await attempt();
       if (value !== undefined) return value;
-      if (Date.now() > endsAt) throw new Error('A plan was not done in time');
+      if (Date.now() > endsAt)
+        throw new Error(`A plan was not done in time: ${JSON.stringify(last)}`);
       await sleep(POLL_MS);
     }
   };
   const state = async (intent: Intent, reason: string): Promise<string | undefined> => {
     const { status, body } = await ask('POST', '/intents', { intent, reason });
     if (status === 200) return (body as { readonly plan: { readonly id: string } }).plan.id;
+    last = body;
     if (status === 422 || status === 503) return undefined;
     throw new Error(`An intent was refused: ${JSON.stringify(body)}`);
   };
@@ -50,10 +53,12 @@
         const id = await state(intent, reason);
         if (id === undefined) return undefined;
         const confirmed = await ask('POST', `/plans/${id}/confirm`, {});
+        last = confirmed.body;
         return confirmed.status === 200 ? id : undefined;
       });
       return until(async () => {
         const { status, body } = await ask('GET', `/plans/${plan}`);
+        last = body;
         const record = status === 200 ? (body as PlanRecord) : undefined;
         return record?.status === 'done' ? record : undefined;
       });
--- a/demo/startPlatform.ts
+++ b/demo/startPlatform.ts
@@ -44,7 +44,7 @@
     const engine = ENGINES.find((one) => one.id === id);
     const layers = engine?.layers ?? { from: 0, to: MODEL.layers };
     const state = { model: MODEL.id, modelVersion: '0', layers, role: 'idle', leaving: false };
-    const options = { id, state, modelLayers: MODEL.layers, stepMs: STEP_MS };
+    const options = { id, state, stepMs: STEP_MS };
     return [id, await start('engine', id, options)];
   };
   const startPlain = async (id: string): Promise<readonly [string, StandIn]> => [
--- a/src/adapters/askPlans.ts
+++ b/src/adapters/askPlans.ts
@@ -1,5 +1,6 @@
 /** Brings an operator's ask to the plans side and the answer back. */
 
+import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import type { Operator, OperatorAsk } from '../plans/planMessage';
 import type { Exchange } from './exchange';
@@ -22,7 +23,7 @@
   const call = host.createId();
   const answer = host.waiting.operators.wait(call);
   const wallMs = Date.now();
-  const id = host.createId();
+  const id = randomUUID();
   host.send({ side: 'plans', event: { type: 'operator-asked', call, operator, ask, wallMs, id } });
   const { status, body } = await answer;
   if (status < 400) sendJson(response, status, body);
--- a/src/adapters/createCallerStream.test.ts
+++ b/src/adapters/createCallerStream.test.ts
@@ -8,6 +8,8 @@
 
 const BUFFER_BYTES = 64 * 1024;
 const TEXT = 'x'.repeat(8 * 1024);
+/** 32 MiB in all, far above what the system's own buffers take. */
+const MAX_FRAMES = 4096;
 
 const frameAt = (position: number, change: Partial<TokenFrame> = {}): TokenFrame => ({
   request: 'r1',
@@ -72,7 +74,7 @@
   it('bounds what waits for a slow reader, then ends the stream so that it looks cut', async () => {
     await open(true);
     let most = 0;
-    for (let position = 0; faults.length === 0; position += 1) {
+    for (let position = 0; faults.length === 0 && position < MAX_FRAMES; position += 1) {
       stream.deliver(frameAt(position));
       most = Math.max(most, response.writableLength);
       if (position % 64 === 0) await setImmediate();
--- a/src/adapters/createEngineClient.ts
+++ b/src/adapters/createEngineClient.ts
@@ -5,18 +5,23 @@
 import type {
   AddressedStage,
   EngineOrder,
-  EngineState,
   KvExport,
   OrderResult,
   StreamMessage,
   StreamOrder,
 } from '../contracts/engineContract';
+import type { PlanEvent } from '../plans/planMessage';
 import type { Address } from '../vms/vm';
 import { connectionFailure } from './connectionFailure';
 import { MAX_STREAM_LINE_BYTES, ORDER_TIMEOUT_MS, PROBE_TIMEOUT_MS } from './constants';
 import { createLineSplitter } from './createLineSplitter';
 import { errorText } from './errorText';
-import { engineStateSchema, kvExportsSchema, orderResultSchema } from './engineSchemas';
+import {
+  engineStateSchema,
+  kvExportsSchema,
+  loadReportSchema,
+  orderResultSchema,
+} from './engineSchemas';
 import { origin } from './origin';
 import { streamMessageSchema } from './streamMessageSchema';
 
@@ -33,6 +38,9 @@
   readonly onClosed: (close: StreamClose) => void;
 }
 
+/** What reading an engine gave. */
+export type EngineReading = Extract<PlanEvent, { readonly type: 'engine-read' }>['result'];
+
 export interface EngineClient {
   /** Opens a stream and returns the function that drops it. */
   readonly openStream: (order: StreamOrder, listener: StreamListener) => () => void;
@@ -49,12 +57,8 @@
     address: Address,
     order: EngineOrder,
   ) => Promise<OrderResult | { readonly type: 'unreachable' | 'lost' }>;
-  readonly readState: (
-    address: Address,
-  ) => Promise<
-    | { readonly type: 'state'; readonly state: EngineState; readonly fencing: number }
-    | { readonly type: 'unreachable' }
-  >;
+  /** Reads the state, with the work that its load report names; without it where that is missing. */
+  readonly readState: (address: Address) => Promise<EngineReading>;
 }
 
 const stateAnswer = z.object({ state: engineStateSchema, fencing: z.number() });
@@ -100,9 +104,7 @@
         stages.map(({ address }) => getJson(address, `/v1/kv/${encodeURIComponent(request)}`)),
       );
       return answers.flatMap((answer) => {
-        const checked = kvExportsSchema.safeParse(
-          answer.status === 'fulfilled' ? answer.value : undefined,
-        );
+        const checked = kvExportsSchema.safeParse(valueOf(answer));
         return checked.success ? checked.data.exports : [];
       });
     },
@@ -123,16 +125,23 @@
       }
     },
     readState: async (address) => {
-      try {
-        const checked = stateAnswer.safeParse(await getJson(address, '/v1/state'));
-        return checked.success ? { type: 'state', ...checked.data } : { type: 'unreachable' };
-      } catch {
-        return { type: 'unreachable' };
-      }
+      const [state, load] = await Promise.allSettled([
+        getJson(address, '/v1/state'),
+        getJson(address, '/v1/load'),
+      ]);
+      const checked = stateAnswer.safeParse(valueOf(state));
+      const report = loadReportSchema.safeParse(valueOf(load)).data;
+      if (!checked.success) return { type: 'unreachable' };
+      const work = report === undefined ? {} : { running: report.running + report.queued };
+      return { type: 'state', ...checked.data, ...work };
     },
   };
 }
 
+function valueOf(settled: PromiseSettledResult<unknown>): unknown {
+  return settled.status === 'fulfilled' ? settled.value : undefined;
+}
+
 async function runStream(
   dispatcher: Dispatcher,
   order: StreamOrder,
--- a/src/node/startDaemon.ts
+++ b/src/node/startDaemon.ts
@@ -3,7 +3,7 @@
  * interpreters. Several daemons fit into one process.
  */
 
-import { randomBytes, randomInt } from 'node:crypto';
+import { randomBytes, randomInt, randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import { createHttpServer } from '../adapters/createHttpServer';
 import { createPeerServer } from '../adapters/createPeerServer';
@@ -115,7 +115,7 @@
   const addresses = { http: http.address, peer: peerServer.address, gossip: gossipAddress };
   const vm: Vm = { ...settings.vm, incarnation, addresses };
   const ticker = setInterval(() => {
-    ports.send({ side: 'plans', event: { type: 'ticked', wallMs: Date.now(), id: createId() } });
+    ports.send({ side: 'plans', event: { type: 'ticked', wallMs: Date.now(), id: randomUUID() } });
   }, PLAN_TICK_MS);
   ports.send({ side: 'fleet', event: { type: 'started', vm, seeds: settings.seeds } });
   log.write('info', 'listening', {
