--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -8,11 +8,17 @@
 import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { overload } from './overload';
+import { plansFaults } from './plansFaults';
+import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
   daemon,
   membership,
+  overload,
+  plansFaults,
+  throughput,
 };
 
 async function main(): Promise<void> {
