--- /dev/null
+++ b/src/node/createNodeActor.test.ts
@@ -0,0 +1,85 @@
+import type { NodeEffect, NodeEvent } from './nodeMessage';
+import { createNodeActor } from './createNodeActor';
+import type { NodeActor } from './createNodeActor';
+import type { UntimedEvent } from './untimedEvent';
+
+const leave = (request: string): UntimedEvent => ({
+  side: 'router',
+  event: { type: 'caller-left', request },
+});
+
+const count = (counter: string): NodeEffect => ({
+  side: 'router',
+  effect: { type: 'count', counter, by: 1 },
+});
+
+const nameOf = ({ event }: NodeEvent): string =>
+  event.type === 'caller-left' ? event.request : event.type;
+
+const settle = () => new Promise((resolve) => setTimeout(resolve, 5));
+
+describe('createNodeActor', () => {
+  let actor: NodeActor<readonly string[]>;
+  let interpreted: string[];
+  let faults: string[];
+  let clock: number;
+
+  beforeEach(() => {
+    interpreted = [];
+    faults = [];
+    clock = 0;
+    actor = createNodeActor<readonly string[]>({
+      initialState: [],
+      reduce: (state, event) => {
+        const name = nameOf(event);
+        if (name === 'broken') throw new Error('invariant');
+        const { atMs, seed } = event.event;
+        return { state: [...state, `${name}@${atMs}/${seed}`], effects: [count(name)] };
+      },
+      interpret: ({ effect }) => {
+        if (effect.type !== 'count') return;
+        if (effect.counter === 'unsendable') throw new Error('no interpreter');
+        interpreted.push(effect.counter);
+      },
+      now: () => {
+        clock += 1;
+        return clock;
+      },
+      seed: () => 7,
+      onFault: (fault, cause) => faults.push(`${nameOf(cause)}: ${String(fault)}`),
+    });
+  });
+
+  afterEach(() => {
+    actor.stop();
+  });
+
+  it('handles events in order, with the time at which each is handled', async () => {
+    actor.send(leave('a'), leave('b'));
+    actor.send(leave('c'));
+    await settle();
+    expect(actor.state()).toEqual(['a@1/7', 'b@2/7', 'c@3/7']);
+    expect(interpreted).toEqual(['a', 'b', 'c']);
+  });
+
+  it('keeps the state and goes on where a decision throws', async () => {
+    actor.send(leave('a'), leave('broken'), leave('b'));
+    await settle();
+    expect(actor.state()).toEqual(['a@1/7', 'b@3/7']);
+    expect(faults).toEqual(['broken: Error: invariant']);
+  });
+
+  it('goes on where an effect cannot be carried out', async () => {
+    actor.send(leave('unsendable'), leave('b'));
+    await settle();
+    expect(interpreted).toEqual(['b']);
+    expect(faults).toEqual(['unsendable: Error: no interpreter']);
+  });
+
+  it('takes nothing once it is stopped', async () => {
+    actor.stop();
+    actor.send(leave('a'));
+    await settle();
+    expect(actor.state()).toEqual([]);
+  });
+});
--- a/src/node/refuseFaulty.ts
+++ b/src/node/refuseFaulty.ts
@@ -1,8 +1,12 @@
-/** Ends the request or call whose decision threw, so that its caller is not left waiting. */
+/**
+ * Ends the request or call whose decision threw: its caller is not left waiting, and the router drops
+ * what runs for it.
+ */
 
 import type { Waiting } from '../adapters/exchange';
 import type { Refusal } from '../outcomes/outcome';
 import type { NodeEvent } from './nodeMessage';
+import type { Send } from './untimedEvent';
 
 const FAILED: Refusal = {
   outcome: 'failed',
@@ -17,11 +21,12 @@
  *
  * @param cause the event whose decision threw
  * @param waiting those who wait
+ * @param send hands events to the node
  */
-export function refuseFaulty({ event }: NodeEvent, waiting: Waiting): void {
-  if (event.type === 'request-received') refuseStream(event.request.id, waiting);
+export function refuseFaulty({ event }: NodeEvent, waiting: Waiting, send: Send): void {
+  if (event.type === 'request-received') refuseStream(event.request.id, waiting, send);
   if (event.type === 'stream-message' || event.type === 'stream-closed') {
-    refuseStream(event.request, waiting);
+    refuseStream(event.request, waiting, send);
   }
   if (event.type === 'call-received') {
     waiting.calls.settle(event.call.call, { type: 'refused', refusal: UNKNOWN });
@@ -34,8 +39,9 @@
   }
 }
 
-function refuseStream(request: string, waiting: Waiting): void {
+function refuseStream(request: string, waiting: Waiting, send: Send): void {
   const stream = waiting.streams.get(request);
   waiting.streams.delete(request);
   stream?.refuse(FAILED);
+  send({ side: 'router', event: { type: 'caller-left', request } });
 }
--- a/src/node/startDaemon.ts
+++ b/src/node/startDaemon.ts
@@ -154,7 +154,7 @@
   initialState: RouterNode,
   interpret: Parameters<typeof createNodeActor<RouterNode>>[0]['interpret'],
   seed: number,
-  { metrics, log, waiting }: Ports,
+  { metrics, log, waiting, send }: Ports,
 ): NodeActor<RouterNode> {
   const random = createRandom(seed);
   return createNodeActor({
@@ -167,7 +167,7 @@
       const { side, event } = cause;
       metrics.count('decision_faults', 1, { side, event: event.type });
       log.write('error', 'decision failed', { side, event: event.type, fault: errorText(fault) });
-      refuseFaulty(cause, waiting);
+      refuseFaulty(cause, waiting, send);
     },
   });
 }
