Let the demo's callers take a refused connection for unsent on the first try only

A caller whose first try was reset, after it ran, went round the addresses, met the same dead VM again, took the refused connection for never sent and asked anew under another id: that made one of eight runs count a doubled write and a false not-run. The account now names each cut stream with its VM and reason, and the drain answers for its own VM's.

--- a/demo/acts.ts
+++ b/demo/acts.ts
@@ -95,15 +95,16 @@
 
 const drainVm: Act = {
   title: 'a VM drains',
-  play: async ({ fleet, tally, say }) => {
-    const before = tally.counts().cutStreams;
+  play: async ({ fleet, cutsAt, say }) => {
     const vm = fleet.vms().get('vm-1');
+    const countCuts = (): number => cutsAt.get(vm?.url ?? '') ?? 0;
+    const before = countCuts();
     vm?.process.signal('SIGTERM');
     const timeout = sleep(DRAIN_TIMEOUT_MS).then(() => 'timeout' as const);
     const end = await Promise.race([vm?.process.exited, timeout]);
     await fleet.remove('vm-1');
-    const cut = tally.counts().cutStreams - before;
-    say(`vm-1 ended by itself with ${end ?? 'no code'}; ${cut} streams were cut`);
+    const cut = countCuts() - before;
+    say(`vm-1 ended by itself with ${end ?? 'no code'}; it cut ${cut} streams`);
     const findings = end === 0 ? [] : [`the drain ended with ${end ?? 'a signal'}`];
     return cut > 0 ? [...findings, `the drain cut ${cut} streams`] : findings;
   },
--- a/demo/checkRuns.ts
+++ b/demo/checkRuns.ts
@@ -9,7 +9,7 @@
   /** Writes that ran more than once, under whatever id. */
   readonly doubled: number;
   /** Writes that ran although their caller was told that they had not. */
-  readonly falseNotRun: number;
+  readonly falseNotRun: readonly string[];
   /** Layers that ran twice for one token of one attempt. */
   readonly doubledLayers: number;
 }
@@ -25,14 +25,14 @@
  */
 export async function checkRuns(
   platform: Platform,
-  notRun: ReadonlySet<string>,
+  notRun: ReadonlyMap<string, string>,
 ): Promise<RunCheck> {
   const plain = await readLogs<PlainRun>(platform.plain);
   const writes = plain.filter(({ method }) => method === 'POST').map(({ path }) => path);
   const layers = (await readLogs<EngineLogEntry>(platform.engines)).flatMap(listLayers);
   return {
     doubled: countRepeats(writes.map((path) => path.replace(ATTEMPT, ''))),
-    falseNotRun: writes.filter((path) => notRun.has(path)).length,
+    falseNotRun: writes.filter((path) => notRun.has(path)),
     doubledLayers: countRepeats(layers),
   };
 }
--- a/demo/createCaller.ts
+++ b/demo/createCaller.ts
@@ -28,8 +28,10 @@
   readonly name: string;
   readonly tally: Tally;
   readonly known: () => readonly string[];
-  /** Told of each write that was refused as not run, by its path. */
-  readonly onNotRun: (path: string) => void;
+  /** Told of each write that was refused as not run, by its path, and by whom with which words. */
+  readonly onNotRun: (path: string, why: string) => void;
+  /** Told of each stream that was cut, and why. */
+  readonly onCut: (url: string, why: string) => void;
 }
 
 /** Time after which a caller gives a request up, milliseconds. */
@@ -43,7 +45,7 @@
 }
 
 /** Nobody took the first connection, so nothing was sent: safe to ask anew under another id. */
-const NEVER_SENT: Problem = { outcome: 'not-run' };
+const NEVER_SENT = { outcome: 'not-run', detail: 'the connection was refused' } as const;
 
 /**
  * Creates a caller.
@@ -51,7 +53,7 @@
  * @param options whose caller, where it asks first, and who counts
  */
 export function createCaller(options: CallerOptions): Caller {
-  const { workspace, name, tally, known, onNotRun } = options;
+  const { workspace, name, tally, known, onNotRun, onCut } = options;
   const token = TOKENS[workspace];
   const service = PLAIN_SERVICES[workspace];
   const directory = createDirectory({ token, name, known });
@@ -66,13 +68,13 @@
     const method = key === undefined ? 'GET' : 'POST';
     const { url } = await directory.current();
     const endsAt = Date.now() + PATIENCE_MS;
-    for (let at = url; Date.now() < endsAt; at = directory.next()) {
+    for (let at = url, tries = 1; Date.now() < endsAt; at = directory.next(), tries += 1) {
       try {
         const body = method === 'GET' ? { token } : call;
         return (await callJson(`${at}/v1/services/${service.id}${path}`, { method, ...body })).body;
       } catch (error) {
         directory.forget();
-        if (at === url && connectionFailure(error) === 'unreachable') return NEVER_SENT;
+        if (tries === 1 && connectionFailure(error) === 'unreachable') return NEVER_SENT;
         await sleep(RETRY_MS);
       }
     }
@@ -97,7 +99,10 @@
           finish(end.text === expected);
           return;
         }
-        if (end.type === 'cut') tally.add('cutStreams');
+        if (end.type === 'cut') {
+          tally.add('cutStreams');
+          onCut(url, `after ${end.text.length} tokens: ${end.detail}`);
+        }
         if (end.type === 'cut' && !expected.startsWith(end.text)) tally.add('wrongAnswers');
         await backOff(end.type === 'refused' ? end.retryAfterMs : RETRY_MS);
       }
@@ -117,7 +122,7 @@
           else tally.add(outcome);
           return;
         }
-        onNotRun(target);
+        onNotRun(target, `${JSON.stringify(body)} for ${ticket}/${sequence}`);
         await backOff(retryAfterMs);
       }
       tally.add('notRun');
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -55,21 +55,27 @@
     say(`${plans} intents were planned, confirmed and carried out`);
     say(`revision ${await untilInForce(known())} is in force on every VM`);
     const tally = createTally();
-    const notRun = new Set<string>();
+    const notRun = new Map<string, string>();
     let callers = 0;
-    const onNotRun = (path: string): void => {
-      notRun.add(path);
+    const onNotRun = (path: string, why: string): void => {
+      notRun.set(path, why);
+    };
+    const cutsAt = new Map<string, number>();
+    const onCut = (url: string, why: string): void => {
+      cutsAt.set(url, (cutsAt.get(url) ?? 0) + 1);
+      say(`a stream was cut at ${url} ${why}`);
     };
     const stage: Stage = {
       platform,
       fleet,
       operator,
       tally,
+      cutsAt,
       say,
       createCaller: (workspace) => {
         callers += 1;
         const name = `caller-${callers}`;
-        return createCaller({ workspace, name, tally, known, onNotRun });
+        return createCaller({ workspace, name, tally, known, onNotRun, onCut });
       },
     };
     const findings = await play(stage);
@@ -112,7 +118,7 @@
 /** Holds the stand-ins' logs against what callers were told, and prints the last line. */
 async function close(
   { platform, tally, say }: Stage,
-  notRun: ReadonlySet<string>,
+  notRun: ReadonlyMap<string, string>,
   findings: readonly string[],
 ): Promise<readonly string[]> {
   const counts = tally.counts();
@@ -120,13 +126,20 @@
   const all = [
     ...findings,
     ...(check.doubled > 0 ? [`${check.doubled} writes ran twice`] : []),
-    ...(check.falseNotRun > 0 ? [`${check.falseNotRun} writes ran that were told not run`] : []),
+    ...check.falseNotRun.map((path) => `${path} ran, but was refused: ${notRun.get(path) ?? ''}`),
     ...(check.doubledLayers > 0 ? [`${check.doubledLayers} layers ran twice for a token`] : []),
     ...(counts.wrongAnswers > 0 ? [`${counts.wrongAnswers} answers were wrong`] : []),
   ];
   for (const finding of all) say(`DID NOT HOLD: ${finding}`);
   say(all.length === 0 ? 'everything held that must hold' : `${all.length} things did not hold`);
-  console.log(JSON.stringify({ ...counts, ...check, held: all.length === 0 }));
+  console.log(
+    JSON.stringify({
+      ...counts,
+      ...check,
+      falseNotRun: check.falseNotRun.length,
+      held: all.length === 0,
+    }),
+  );
   return all;
 }
 
--- a/demo/stage.ts
+++ b/demo/stage.ts
@@ -12,6 +12,8 @@
   readonly fleet: DemoFleet;
   readonly operator: DemoOperator;
   readonly tally: Tally;
+  /** Streams that were cut, by the URL of the VM that served them. */
+  readonly cutsAt: ReadonlyMap<string, number>;
   readonly createCaller: (workspace: WorkspaceName) => Caller;
   /** Adds a line to the account. */
   readonly say: (line: string) => void;
