--- /dev/null
+++ b/src/vms/shareSuspects.test.ts
@@ -0,0 +1,21 @@
+import { VirtualFleet } from '../../measurements/virtualFleet';
+
+describe('shareSuspects', () => {
+  it('brings a suspect content to every other VM within 2 s, its age included', () => {
+    const network = new VirtualFleet({ nodes: 8, seed: 71, lossRate: 0.01 });
+    network.startAll();
+    network.run(3000);
+    const ages = new Map<string, number>();
+    network.onEffect = ({ vm }, effect) => {
+      if (effect.type === 'suspects-learned') ages.set(vm.id, effect.suspects[0]?.ageMs ?? 0);
+    };
+    const suspect = { fingerprint: 'f1', crashes: 2, designated: 'engine-3', ageMs: 5000 };
+    const [first] = network.vms;
+    if (first === undefined) throw new Error('No VM');
+    network.deliver(first, { type: 'suspects-shared', suspects: [suspect] });
+    network.run(2000);
+    expect(ages.size).toBe(7);
+    expect(Math.min(...ages.values())).toBeGreaterThanOrEqual(5000);
+    expect(Math.max(...ages.values())).toBeLessThan(7000);
+  });
+});
