Tell a VM to leave under a row of its plan

Cause: the row was named for the VM alone, so a VM that came back under its old name could not be retired again: the old row said that it leaves. Change: the row's key names the plan as well. Seen: the lengthened test fails without the change and passes with it; npm test passes.

--- a/src/plans/driveExecution.test.ts
+++ b/src/plans/driveExecution.test.ts
@@ -174,6 +174,15 @@
     bench.run(MOVE_MS);
     expect([...bench.drained]).toEqual(['vm-2']);
     expect(statusOf(bench, plan)).toBe('done');
+    bench.drained.clear();
+    bench.restart(2);
+    bench.run(MOVE_MS);
+    expect([...bench.drained]).toEqual([]);
+    const again = proposeIntent(bench, { type: 'retire-vm', vm: 'vm-2' });
+    bench.ask(0, { type: 'confirm-plan', plan: again.id });
+    bench.run(MOVE_MS);
+    expect([...bench.drained]).toEqual(['vm-2']);
+    expect(statusOf(bench, again)).toBe('done');
     expect(findViolations(bench)).toEqual([]);
   });
 
--- a/src/plans/handleScan.ts
+++ b/src/plans/handleScan.ts
@@ -81,13 +81,17 @@
   return { state: opened.state, effects: [{ type: 'transact', call: opened.id, transaction }] };
 }
 
+function isTold(value: string): boolean {
+  return (JSON.parse(value) as VmOrder).state === 'told';
+}
+
 /** Where this VM is told to leave, drains it and says so in the row. */
 function leave(state: Plans, rows: readonly Row[]): Step {
-  const key = `${VM_KEY_PREFIX}${state.options.vm}`;
-  const row = rows.find((item) => item.key === key);
+  const prefix = `${VM_KEY_PREFIX}${state.options.vm}/`;
+  const row = rows.find(({ key, value }) => key.startsWith(prefix) && isTold(value));
   if (row === undefined) return { state, effects: [] };
   const order = JSON.parse(row.value) as VmOrder;
-  if (order.state === 'leaving') return { state, effects: [] };
+  const { key } = row;
   const opened = openCallAs(state, { type: 'leave', key });
   const value = JSON.stringify({ ...order, state: 'leaving' });
   const transaction = {
--- a/src/plans/planRows.ts
+++ b/src/plans/planRows.ts
@@ -54,7 +54,7 @@
   readonly last: number;
 }
 
-/** Start of the keys of rows that tell VMs to leave. */
+/** Start of the keys of rows that tell VMs to leave: `vm/<VM>/<plan>`. */
 export const VM_KEY_PREFIX = 'vm/';
 
 /** What a VM is told, and what it has answered. */
--- a/src/plans/runStep.ts
+++ b/src/plans/runStep.ts
@@ -55,7 +55,8 @@
     if (!execution.record.isStepStarted) {
       return writeAdvance(state, execution, { type: 'begin', what: `${vm} is told to leave` }, at);
     }
-    return orderVm(state, execution, `${VM_KEY_PREFIX}${vm}`, at);
+    const key = `${VM_KEY_PREFIX}${vm}/${execution.record.plan.id}`;
+    return orderVm(state, execution, key, at);
   },
 };
 
