--- a/measurements/soak/runSoak.test.ts
+++ b/measurements/soak/runSoak.test.ts
@@ -7,10 +7,14 @@
 import { planSoak } from './planSoak';
 import { runSoak } from './runSoak';
 import { hasFailed, shrinkSoak } from './shrinkSoak';
+import type { SoakPlan } from './soakItem';
 import type { BreakSides, SoakSides } from './soakWorld';
 
 const STEPS = 120;
 
+/** Items of a run that has to last for a drain and longer. */
+const LONG_STEPS = 300;
+
 /** Seeds in which a broken rule has to show. */
 const MOST_SEEDS = 8;
 
@@ -123,6 +127,22 @@
     sides.fleet(state, event.type === 'work-counted' ? { ...event, running: 0 } : event),
 });
 
+type ChangePlan = (plan: SoakPlan) => SoakPlan;
+
+const keep: ChangePlan = (plan) => plan;
+
+/** VMs that forget most results. */
+const smallMemory: ChangePlan = (plan) => ({ ...plan, remembered: 4 });
+
+/** Three VMs drain in turn, and all engines are slow when their answers have lapsed. */
+const manyDrains: ChangePlan = ({ seed }) => ({
+  ...planSoak(seed, LONG_STEPS),
+  faults: [0, 1, 2, 3, 4, 5].flatMap((pick) => [
+    { type: 'drain', pick: pick % 3, atMs: 2500 + pick * 500, forMs: 0 },
+    { type: 'engine-stall', pick, atMs: 5500, forMs: 4000 },
+  ]),
+});
+
 describe('runSoak', () => {
   it('gives the same run for the same seed', () => {
     const plan = planSoak(7, STEPS);
@@ -137,25 +157,32 @@
 
   it.each([
     ['doubled', 'a home that forgets what it ran', forgetsAll, 1],
-    ['doubled', 'a home that forgets its watermarks', forgetsWatermarks, 1],
+    ['doubled', 'a home that forgets its watermarks', forgetsWatermarks, 1, smallMemory],
     ['doubled', 'a claim that another VM holds', ignoresClaims, 1],
     ['falseNotRun', 'not-run in place of unknown', saysNotRun, 2],
     ['wrongAnswers', "another call's answer", swapsAnswers, 1],
     ['layerFaults', 'tokens that the ledger did not check', skipsLedger, 1],
     ['lateDispatchToLeaving', 'dispatches to leaving servers', takesForgone, 5],
     ['configReverts', 'an older configuration', reverts, 1],
-    ['cutStreams', 'a drain that ignores running work', ignoresWork, 17],
-  ] as const)('catches by %s %s', (failure, _, breakSides, firstSeed) => {
-    const seeds = Array.from({ length: MOST_SEEDS }, (__, index) => firstSeed + index);
-    const isCaught = seeds.some(
-      (seed) => runSoak(planSoak(seed, STEPS), breakSides).findings[failure] > 0,
-    );
-    expect(isCaught).toBe(true);
+    ['cutStreams', 'a drain that ignores running work', ignoresWork, 1, manyDrains],
+  ] as const)(
+    'catches by %s %s',
+    (failure, _, breakSides, firstSeed, change: ChangePlan = keep) => {
+      const seeds = Array.from({ length: MOST_SEEDS }, (__, index) => firstSeed + index);
+      const isCaught = seeds.some(
+        (seed) => runSoak(change(planSoak(seed, STEPS)), breakSides).findings[failure] > 0,
+      );
+      expect(isCaught).toBe(true);
+    },
+  );
+
+  it('cuts no request when VMs drain one after the other', () => {
+    expect(runSoak(manyDrains(planSoak(1, STEPS))).findings.cutStreams).toBe(0);
   });
 
   it('cuts no request when a VM drains that refused work for a while before', () => {
     const seeds = [156, 462, 3058];
-    const cut = seeds.map((seed) => runSoak(planSoak(seed, 300)).findings.cutStreams);
+    const cut = seeds.map((seed) => runSoak(planSoak(seed, LONG_STEPS)).findings.cutStreams);
     expect(cut).toEqual([0, 0, 0]);
   });
 
