--- a/measurements/control.ts
+++ b/measurements/control.ts
@@ -46,6 +46,8 @@
 /** Reports the cost a node, and its slopes from runs with each of the sizes halved. */
 export const control: Measurement = ({ seed, nodes, engines, workspaces }, print) => {
   const size = { nodes, engines, workspaces };
+  // A small run first, so that compiled code and caches count in none of the others.
+  measureCost(seed, { nodes: 4, engines: 8, workspaces: 8 });
   const whole = measureCost(seed, size);
   print(JSON.stringify({ ...size, ...whole }));
   const slopes = Object.fromEntries(
--- a/src/vms/fleetConstants.ts
+++ b/src/vms/fleetConstants.ts
@@ -126,9 +126,12 @@
 /** Names of VMs that a pending revision waits for, at most. */
 export const MAX_WAITS_FOR = 20;
 
-/** VMs that probe one backend server. */
+/** VMs that probe one backend server, in a region of up to `SMALL_FLEET_VMS`. */
 export const WATCHERS_PER_SERVER = 2;
 
+/** VMs that probe one backend server in a larger region, where many stand by to probe it themselves. */
+export const WATCHERS_IN_LARGE_REGION = 1;
+
 /** Time between two probes of one backend server by one watcher, milliseconds. */
 export const WATCH_PERIOD_MS = 1000;
 
@@ -139,7 +142,7 @@
 export const FRESH_MS = 2500;
 
 /** Without newer word than this, a VM probes a backend server itself, milliseconds. */
-export const OWN_PROBE_MS = 1800;
+export const OWN_PROBE_MS = 2100;
 
 /** Probes of its own that a VM starts with one judgement, beside those it owes as a watcher. */
 export const MAX_OWN_PROBES = 20;
--- a/src/vms/isWatcher.ts
+++ b/src/vms/isWatcher.ts
@@ -1,6 +1,6 @@
 /** Whether a VM probes a backend server on behalf of all. */
 
-import { WATCHERS_PER_SERVER } from './fleetConstants';
+import { SMALL_FLEET_VMS, WATCHERS_IN_LARGE_REGION, WATCHERS_PER_SERVER } from './fleetConstants';
 import { mixHashes } from './mixHashes';
 
 /**
@@ -12,11 +12,13 @@
  * @param vms hashes of the ids of all VMs that may watch, the own one included
  */
 export function isWatcher(server: number, own: number, vms: readonly number[]): boolean {
+  const isLarge = vms.length > SMALL_FLEET_VMS;
+  const watchers = isLarge ? WATCHERS_IN_LARGE_REGION : WATCHERS_PER_SERVER;
   const score = mixHashes(server, own);
   let better = 0;
   for (const vm of vms) {
     if (mixHashes(server, vm) > score) better += 1;
-    if (better >= WATCHERS_PER_SERVER) return false;
+    if (better >= watchers) return false;
   }
   return true;
 }
--- a/src/vms/watchServers.ts
+++ b/src/vms/watchServers.ts
@@ -74,7 +74,7 @@
 function sendOwnDigests(fleet: Fleet, atMs: number): FleetDecision {
   if (atMs < fleet.servers.digestAtMs) return { state: fleet, effects: [] };
   const state = { ...fleet, servers: { ...fleet.servers, digestAtMs: Infinity } };
-  const digests = state.servers.watched.flatMap((id) => digestOf(state, id, atMs, ['own']));
+  const digests = state.servers.watched.flatMap((id) => digestOf(state, id, atMs, ['own'], false));
   const stride = strideOf(state);
   const targets = Array.from({ length: stride - 1 }, (_, index) => index + 1);
   return sendDigests(state, targets, digests, atMs);
@@ -85,7 +85,10 @@
   if (atMs < nextRelayAtMs) return { state: fleet, effects: [] };
   const due = Math.max(nextRelayAtMs, atMs - WATCH_PERIOD_MS) + WATCH_PERIOD_MS;
   const state = { ...fleet, servers: { ...fleet.servers, nextRelayAtMs: due } };
-  const digests = scope.flatMap(({ id }) => digestOf(state, id, atMs, ['own', 'watcher']));
+  const watched = new Set(state.servers.watched);
+  const viasOf = (id: string): readonly ServerWord['via'][] =>
+    watched.has(id) ? ['own', 'watcher'] : ['watcher'];
+  const digests = scope.flatMap(({ id }) => digestOf(state, id, atMs, viasOf(id), true));
   const stride = strideOf(state);
   const steps = Math.max(0, Math.ceil(state.membership.ring.length / stride) - 1);
   const targets = Array.from({ length: steps }, (_, index) => (index + 1) * stride);
@@ -101,12 +104,12 @@
   server: string,
   atMs: number,
   vias: readonly ServerWord['via'][],
+  isRelayed: boolean,
 ): readonly DigestTuple[] {
   const record: ServerRecord = serverRecordOf(fleet, server);
   const { word } = record;
   if (word === undefined || !vias.includes(word.via)) return [];
   if (atMs - word.observedAtMs > FRESH_MS / 2) return [];
-  const isRelayed = vias.length > 1;
   return [encodeDigest(server, record, word, atMs, isRelayed)];
 }
 
