--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -9,7 +9,10 @@
 import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { operations } from './operations';
 import { overload } from './overload';
+import { placement } from './placement';
+import { plans } from './plans';
 import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
 
@@ -18,7 +21,10 @@
   control,
   daemon,
   membership,
+  operations,
   overload,
+  placement,
+  plans,
   plansFaults,
   throughput,
 };
--- a/src/plans/planLimits.ts
+++ b/src/plans/planLimits.ts
@@ -65,8 +65,14 @@
 /** How late a load report may be; a drained engine has been idle for longer, milliseconds. */
 export const REPORT_LAG_MS = 3 * MS_PER_SECOND;
 
+/** How long a lost backend server is asked in vain before it counts as drained, milliseconds. */
+export const LOST_DRAIN_MS = 20 * MS_PER_SECOND;
+
 /** Time a drain may take before the plan is undone, milliseconds. */
 export const DRAIN_LIMIT_MS = 900 * MS_PER_SECOND;
 
+/** How long an engine is lost before a repair is proposed, milliseconds. */
+export const REPAIR_AFTER_MS = 10 * MS_PER_SECOND;
+
 /** Rate at which the weight store serves all engines together, bytes a second. */
 export const WEIGHT_STORE_BYTES_PER_SECOND = 1000 * BYTES_PER_MIB;
