Count work that ends a drain only after answers have lapsed

Change: a count is heeded only once the answers that named the VM have lapsed and it refuses new work, after which it never takes any again. Ruled out: to clear the count on each change of standing, which leaves a window between the change and the count.

--- a/src/vms/handleDrain.ts
+++ b/src/vms/handleDrain.ts
@@ -22,10 +22,15 @@
   return chain(marked, (state) => sendNews(state, atMs, seed));
 }
 
-/** Takes note of how much still runs here. */
+/**
+ * Takes note of how much still runs here. A count from before the answers lapsed says nothing: a VM that
+ * refused work for another reason may have taken it again since.
+ */
 export function handleWorkCounted(fleet: Fleet, event: Event<'work-counted'>): FleetDecision {
-  if (fleet.drain === undefined || fleet.standing.isAccepting) return { state: fleet, effects: [] };
-  const state = { ...fleet, drain: { ...fleet.drain, running: event.running } };
+  const { drain, standing } = fleet;
+  const isFinal = drain !== undefined && event.atMs >= drain.lapsesAtMs && !standing.isAccepting;
+  if (!isFinal) return { state: fleet, effects: [] };
+  const state = { ...fleet, drain: { ...drain, running: event.running } };
   return finishDrain(state, event.atMs, event.seed);
 }
 
--- a/src/vms/reduceFleet.test.ts
+++ b/src/vms/reduceFleet.test.ts
@@ -56,6 +56,11 @@
     if (first === undefined || second === undefined) throw new Error('No VMs');
     network.deliver(first, { type: 'drain-started' });
     network.run(500);
+    // A count from a time when the VM refused work for another reason must not end the drain later.
+    network.pause(first, 3000);
+    network.run(3000);
+    network.deliver(first, { type: 'work-counted', running: 0 });
+    network.run(1000);
     network.deliver(second, { type: 'addresses-asked', call: 'a1', caller: 'till-7' });
     const answer = effects.find((effect) => effect.type === 'answer-addresses');
     expect(answer?.answer.addresses).toHaveLength(3);
