Hold a content that crashes backend servers to two of them

A content that was on a server when it crashed is a suspect: one more try, alone among suspects on its rendezvous-hashed servers, and refused for a minute after the second crash, whatever id it has. Suspects travel with the servers that crashed, so that one crash counts once. A server that had brought tokens of a request before it failed does not add to its count, else a fault during recovery refused an innocent request (seen in its test). Three crashes of one failure domain within two seconds are an outage and blame nobody.

Tests: npm test.

--- a/src/requests/adaptAdmission.ts
+++ b/src/requests/adaptAdmission.ts
@@ -12,6 +12,7 @@
   LIMIT_FALL,
   LIMIT_FLOOR,
   LIMIT_RISE,
+  LOWER_PAUSE,
   MAX_SHARED_WORKSPACES,
 } from './constants';
 import type { Router } from './router';
@@ -40,7 +41,7 @@
     admission: {
       ...admission,
       workspaces,
-      limit: adaptLimit(router, firstTokenMs),
+      ...adaptLimit(router, firstTokenMs, atMs),
       firstTokenMs,
       firstTokens: 0,
       firstTokenSumMs: 0,
@@ -60,12 +61,23 @@
   };
 }
 
-function adaptLimit(router: Router, firstTokenMs: number): number {
-  const { limit } = router.admission;
+/** The limit is lowered once, then left until the requests that it let in show their times. */
+function adaptLimit(
+  router: Router,
+  firstTokenMs: number,
+  atMs: number,
+): Pick<Admission, 'limit' | 'loweredAtMs'> {
+  const { limit, loweredAtMs } = router.admission;
   const running = router.requests.size;
-  if (firstTokenMs > goalMs(router)) return Math.max(LIMIT_FLOOR, limit * LIMIT_FALL);
+  const overMs = firstTokenMs - goalMs(router);
+  if (overMs > 0) {
+    if (atMs - loweredAtMs < LOWER_PAUSE * firstTokenMs) return { limit, loweredAtMs };
+    const part = Math.max(LIMIT_FALL, goalMs(router) / firstTokenMs);
+    return { limit: Math.max(LIMIT_FLOOR, limit * part), loweredAtMs: atMs };
+  }
   const isUsed = running > limit * 0.75;
-  return isUsed ? Math.min(router.options.maxRunning, limit * LIMIT_RISE + 1) : limit;
+  const raised = Math.min(router.options.maxRunning, limit * LIMIT_RISE + 1);
+  return { limit: isUsed ? raised : limit, loweredAtMs };
 }
 
 /** A part of the shortest target of all model services. */
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -37,6 +37,8 @@
   /** First tokens since the last adaptation, and their times in sum, milliseconds. */
   readonly firstTokens: number;
   readonly firstTokenSumMs: number;
+  /** When the limit was last lowered. */
+  readonly loweredAtMs: number;
   /** When the limit and the rates were last worked out. */
   readonly adaptedAtMs: number;
 }
--- a/src/requests/checkFrame.test.ts
+++ b/src/requests/checkFrame.test.ts
@@ -32,7 +32,10 @@
   paceDeviationMs: 1,
   expectedFirstMs: 0,
   avoided: [],
+  proven: [],
   doubted: [],
+  isAlone: false,
+  waitsSinceMs: 0,
   mayHaveRun: true,
   hasRun: true,
 };
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -65,8 +65,11 @@
 /** Factor of the limit while the first token comes soon enough and the limit is used. */
 export const LIMIT_RISE = 1.05;
 
-/** Factor of the limit while the first token comes late. */
-export const LIMIT_FALL = 0.9;
+/** Least factor by which the limit is lowered at once when the first token comes late. */
+export const LIMIT_FALL = 0.8;
+
+/** Times to the first token that have to pass before the limit is lowered again. */
+export const LOWER_PAUSE = 1.5;
 
 /** Part of the target for the first token that the mean is held at. */
 export const FIRST_TOKEN_GOAL = 0.5;
@@ -98,3 +101,30 @@
 
 /** Timer of the adaptation of admission. */
 export const ADMISSION_TIMER = 'admission';
+
+/** Crashes after which a content is refused. */
+export const MAX_CRASHES = 2;
+
+/** Time for which a crash is held against a content, milliseconds. */
+export const SUSPECT_MS = 60_000;
+
+/** Contents that one VM holds crashes against at most. */
+export const MAX_SUSPECTS = 10_000;
+
+/** Crashes of one failure domain within the window that make an outage. */
+export const OUTAGE_CRASHES = 3;
+
+/** Window in which crashes make an outage, milliseconds. */
+export const CRASH_WINDOW_MS = 2000;
+
+/** Time before a suspect's second try, in which the other VMs learn of it, milliseconds. */
+export const SUSPECT_NEWS_MS = 400;
+
+/** Time for which a suspect waits for its turn at most, milliseconds. */
+export const TURN_WAIT_MS = 3000;
+
+/** Time between two looks whether a suspect's turn has come, milliseconds. */
+export const TURN_CHECK_MS = 50;
+
+/** Tokens after a crash that clear a content of it. */
+export const CLEARING_TOKENS = 2;
--- a/src/requests/fireTimer.ts
+++ b/src/requests/fireTimer.ts
@@ -4,9 +4,16 @@
 import type { TimerFired } from '../decisions/primitive';
 import { allowedSilenceMs } from './allowedSilenceMs';
 import { adaptAdmission } from './adaptAdmission';
-import { ADAPT_MS, ADMISSION_TIMER, HUNG_FACTOR } from './constants';
+import { addressRoute } from './addressRoute';
+import { chooseAlone } from './chooseAlone';
+import { ADAPT_MS, ADMISSION_TIMER, HUNG_FACTOR, TURN_CHECK_MS, TURN_WAIT_MS } from './constants';
+import { endRequest } from './endRequest';
 import { findSilentStages } from './findSilentStages';
+import { judgeContent } from './judgeContent';
+import { openAttempt } from './openAttempt';
 import { recoverRequest } from './recoverRequest';
+import { refusalOf } from './refusalOf';
+import { refuse } from './refuse';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
 import type { RouterEffect } from './routerMessage';
@@ -17,6 +24,7 @@
 const handlers: Readonly<Record<string, TimerHandler>> = {
   stall: checkStall,
   kv: giveUpOnKv,
+  turn: takeTurn,
 };
 
 /** Hands a timer to the handler of its kind; a timer of a request that ended does nothing. */
@@ -83,6 +91,24 @@
   return isHung ? running.route.slice(0, 1).map((stage) => stage.engine) : [];
 }
 
+/** Opens a suspect's last attempt once no other suspect is on its servers. */
+function takeTurn(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
+  if (running.phase !== 'waiting') return { state: router, effects: [] };
+  const { atMs, timer } = event;
+  const verdict = judgeContent(router, running.request.fingerprint, atMs);
+  const refusal = (reason: string): RouterDecision =>
+    endRequest(router, running, refuse(running.request.id, refusalOf(running, reason, reason)));
+  if (verdict === 'refused') return refusal('suspect-content');
+  if (verdict === 'free') return reopenRequest(router, running, [], event);
+  const route = chooseAlone(router, running);
+  if (route !== undefined) {
+    const addressed = addressRoute(router.configuration, route);
+    return openAttempt(router, { ...running, isAlone: true }, route, addressed, atMs);
+  }
+  if (atMs - running.waitsSinceMs > TURN_WAIT_MS) return refusal('suspect-busy');
+  return { state: router, effects: [{ type: 'set-timer', timer, afterMs: TURN_CHECK_MS }] };
+}
+
 function giveUpOnKv(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
   if (running.phase !== 'finding-kv') return { state: router, effects: [] };
   return reopenRequest(router, running, [], event);
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -1,7 +1,7 @@
 /** Checks one token frame against the pass ledger and delivers its token. */
 
 import { checkFrame, type FrameFault } from './checkFrame';
-import { PACE_WEIGHT } from './constants';
+import { CLEARING_TOKENS, PACE_WEIGHT } from './constants';
 import { endRequest } from './endRequest';
 import { isAwaitingFirstToken } from './isAwaitingFirstToken';
 import { serveRoute } from './serveRoute';
@@ -33,7 +33,7 @@
     return finish(served, next, deliver, frame.finish ?? 'length');
   }
   const requests = router.requests.set(frame.request, next);
-  return { state: { ...served, requests }, effects: [deliver] };
+  return { state: { ...clear(served, next), requests }, effects: [deliver] };
 }
 
 /** The time to the first token of a request's first attempt is what admission goes by. */
@@ -45,6 +45,17 @@
   return { ...router, admission: { ...admission, firstTokens, firstTokenSumMs } };
 }
 
+/** Tokens after a crash clear the content of it. */
+function clear(router: Router, running: RunningRequest): Router {
+  const isCleared = running.deliveredCount - running.deliveredBefore === CLEARING_TOKENS;
+  if (!isCleared || router.suspicion.records.size === 0) return router;
+  const { fingerprint } = running.request;
+  const record = router.suspicion.records.get(fingerprint);
+  if (record === undefined) return router;
+  const records = router.suspicion.records.set(fingerprint, { ...record, isCleared });
+  return { ...router, suspicion: { ...router.suspicion, records } };
+}
+
 function dropFrame(router: Router, reason: FrameFault | 'unknown-request'): RouterDecision {
   const labels = { reason };
   const effects: readonly RouterEffect[] = [
--- a/src/requests/receiveStream.ts
+++ b/src/requests/receiveStream.ts
@@ -35,6 +35,7 @@
     reason: event.cause === 'unreachable' ? 'engine-unreachable' : 'stream-cut',
     detail: event.detail,
     failed,
+    ...(event.cause === 'reset' && failed[0] !== undefined ? { crashed: failed[0] } : {}),
     ran: event.cause === 'unreachable' ? 'nothing' : 'maybe',
   };
   const recovered = recoverRequest(router, running, broke, event);
@@ -49,7 +50,8 @@
 ): RouterDecision {
   const isOnRoute = running.route.some((stage) => stage.engine === engine);
   const failed = isOnRoute ? [engine] : firstEngine(running);
-  const broke: Break = { reason: 'stage-failed', detail, failed, ran: 'known' };
+  const crashed = isOnRoute ? { crashed: engine } : {};
+  const broke: Break = { reason: 'stage-failed', detail, failed, ran: 'known', ...crashed };
   const recovered = recoverRequest(router, running, broke, event);
   return { ...recovered, effects: [...observe(failed), ...recovered.effects] };
 }
--- a/src/requests/recoverRequest.ts
+++ b/src/requests/recoverRequest.ts
@@ -6,8 +6,11 @@
 
 import type { BackendServerId } from '../backendServers/backendServer';
 import { addressRoute } from './addressRoute';
-import { KV_LOOKUP_MS, MAX_ATTEMPTS } from './constants';
+import { blameCrash } from './blameCrash';
+import { KV_LOOKUP_MS, MAX_ATTEMPTS, SUSPECT_NEWS_MS } from './constants';
 import { endRequest } from './endRequest';
+import { isAwaitingFirstToken } from './isAwaitingFirstToken';
+import { judgeContent } from './judgeContent';
 import { releaseRoute } from './releaseRoute';
 import { reopenRequest } from './reopenRequest';
 import { refusalOf } from './refusalOf';
@@ -23,6 +26,8 @@
   readonly detail: string;
   /** Engines that are no longer used for this request. */
   readonly failed: readonly BackendServerId[];
+  /** The engine that crashed, where one did. */
+  readonly crashed?: BackendServerId;
   /** Engines of which one stalled; the answer to `find-kv` may tell which. */
   readonly doubted?: readonly BackendServerId[];
   /** `nothing`: proof that the attempt ran nothing; `known`: an engine worked on it. */
@@ -42,9 +47,16 @@
   at: { readonly atMs: number; readonly seed: number },
 ): RouterDecision {
   const shutOut = shutOutAttempt(running, broke);
-  const cancel = cancelAttempt(router, running, broke);
-  const freed = releaseRoute(router, running);
-  if (shutOut.attempt > MAX_ATTEMPTS) return giveUp(freed, shutOut, broke, cancel);
+  const blamed = blame(releaseRoute(router, running), running, broke, at.atMs);
+  const freed = blamed.state;
+  const cancel = [...cancelAttempt(router, running, broke), ...blamed.effects];
+  if (shutOut.attempt > MAX_ATTEMPTS || running.isAlone) {
+    return giveUp(freed, shutOut, broke, cancel);
+  }
+  const verdict = judgeContent(freed, running.request.fingerprint, at.atMs);
+  if (verdict === 'refused') return giveUp(freed, shutOut, broke, cancel);
+  if (verdict === 'alone' && running.deliveredCount === 0)
+    return waitForTurn(freed, shutOut, cancel, at.atMs);
   if (running.deliveredCount === 0) {
     const reopened = reopenRequest(freed, shutOut, [], at);
     return { state: reopened.state, effects: [...cancel, ...reopened.effects] };
@@ -61,6 +73,38 @@
   };
 }
 
+function blame(
+  router: Router,
+  running: RunningRequest,
+  { crashed }: Break,
+  atMs: number,
+): RouterDecision {
+  if (crashed === undefined) return { state: router, effects: [] };
+  const isSuspect = judgeContent(router, running.request.fingerprint, atMs) !== 'free';
+  if (isSuspect && isProven(running, crashed)) return { state: router, effects: [] };
+  return blameCrash(router, running, crashed, atMs);
+}
+
+/** An engine that brought tokens of a request before it crashed was not crashed by starting on it. */
+function isProven(running: RunningRequest, engine: BackendServerId): boolean {
+  return !isAwaitingFirstToken(running) || running.proven.includes(engine);
+}
+
+/** A suspect that brought nothing since its attempt opened tries once more, after the news is out. */
+function waitForTurn(
+  router: Router,
+  running: RunningRequest,
+  effects: readonly RouterEffect[],
+  atMs: number,
+): RouterDecision {
+  const { id } = running.request;
+  const waiting = { ...running, waitsSinceMs: atMs };
+  return {
+    state: { ...router, requests: router.requests.set(id, waiting) },
+    effects: [...effects, { type: 'set-timer', timer: `turn/${id}`, afterMs: SUSPECT_NEWS_MS }],
+  };
+}
+
 function shutOutAttempt(running: RunningRequest, broke: Break): RunningRequest {
   return {
     ...running,
@@ -68,6 +112,9 @@
     attempt: running.attempt + 1,
     avoided: [...new Set([...running.avoided, ...broke.failed])],
     doubted: broke.doubted ?? [],
+    proven: isAwaitingFirstToken(running)
+      ? running.proven
+      : [...new Set([...running.proven, ...running.route.map((stage) => stage.engine)])],
     mayHaveRun: running.mayHaveRun || broke.ran !== 'nothing',
     hasRun: running.hasRun || broke.ran === 'known',
   };
--- a/src/requests/recoverServer.ts
+++ b/src/requests/recoverServer.ts
@@ -13,6 +13,7 @@
     reason: 'server-crashed',
     detail: `Backend server ${event.server} crashed`,
     failed: [event.server],
+    crashed: event.server,
     ran: 'maybe',
   };
   let state = router;
--- a/src/requests/reduceRouter.ts
+++ b/src/requests/reduceRouter.ts
@@ -6,6 +6,7 @@
 import { createReducer } from '../decisions/createReducer';
 import { ADAPT_MS, ADMISSION_TIMER } from './constants';
 import { fireTimer } from './fireTimer';
+import { learnSuspects } from './learnSuspects';
 import { learnUse } from './learnUse';
 import { leaveRequest } from './leaveRequest';
 import { planRouter } from './planRouter';
@@ -34,7 +35,7 @@
   'servers-changed': (router, { servers }) =>
     quiet(planRouter({ ...router, health: new Map(servers.map((item) => [item.server, item])) })),
   'use-learned': (router, event) => quiet(learnUse(router, event)),
-  'suspects-learned': quiet,
+  'suspects-learned': (router, event) => quiet(learnSuspects(router, event)),
   'accepting-changed': (router, { isAccepting, reason }) =>
     quiet({ ...router, isAccepting, refusalReason: reason }),
   'timer-fired': fireTimer,
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -14,6 +14,7 @@
 import type { RetryBudget } from './retryBudget';
 import type { RouterEffect, ServerHealth } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
+import type { Suspicion } from './suspicion';
 
 /** @returns the route, or undefined where the usable engines do not hold every layer */
 export type RouteChoice = (
@@ -40,6 +41,7 @@
   readonly engines: Map<BackendServerId, EngineUse>;
   readonly retries: RetryBudget;
   readonly admission: Admission;
+  readonly suspicion: Suspicion;
   /** VMs that accept new work, this one included. */
   readonly acceptingVms: number;
   /** Mean shape of the requests of late. */
--- a/src/requests/routerMessage.ts
+++ b/src/requests/routerMessage.ts
@@ -25,6 +25,8 @@
   readonly crashes: number;
   /** The one backend server that a suspect may run on, where one is designated. */
   readonly designated?: BackendServerId;
+  /** The backend servers that crashed under it, so that one crash counts once on every VM. */
+  readonly servers?: readonly BackendServerId[];
   /** Age since the last crash, milliseconds; ages travel, not clock readings. */
   readonly ageMs: number;
 }
--- a/src/requests/runningRequest.ts
+++ b/src/requests/runningRequest.ts
@@ -37,8 +37,14 @@
   readonly expectedFirstMs: number;
   /** Engines that failed this request; no later attempt uses them. */
   readonly avoided: readonly BackendServerId[];
+  /** Engines that brought tokens of it in earlier attempts. */
+  readonly proven: readonly BackendServerId[];
   /** Engines of which one stalled the last attempt, the likeliest first. */
   readonly doubted: readonly BackendServerId[];
+  /** True where the current attempt runs as a suspect; it is the last one. */
+  readonly isAlone: boolean;
+  /** When it began to wait for its turn as a suspect, milliseconds. */
+  readonly waitsSinceMs: number;
   /** False while every attempt so far provably ran nothing. */
   readonly mayHaveRun: boolean;
   /** True once an engine is known to have worked on it. */
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -4,7 +4,9 @@
 import { addressRoute } from './addressRoute';
 import { admitRequest } from './admitRequest';
 import { RETRY_AFTER_MS } from './constants';
+import { chooseAlone } from './chooseAlone';
 import { earnRetry } from './earnRetry';
+import { judgeContent } from './judgeContent';
 import { openAttempt } from './openAttempt';
 import { refuse } from './refuse';
 import type { Request } from './request';
@@ -18,6 +20,12 @@
   const { request, atMs } = event;
   const running = createRunning(router, request);
   if ('outcome' in running) return { state: router, effects: refuse(request.id, running) };
+  const verdict = judgeContent(router, request.fingerprint, atMs);
+  if (verdict === 'refused') {
+    const refusal = notRun('suspect-content', 'This content crashed two backend servers of late');
+    return { state: router, effects: refuse(request.id, refusal) };
+  }
+  if (verdict === 'alone') return startAlone(router, running, event);
   const route = router.options.chooseRoute(router, running, atMs);
   if (route === undefined) {
     const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
@@ -38,6 +46,37 @@
   );
 }
 
+/** A suspect runs now, where its servers are up and no other suspect is there, or not at all. */
+function startAlone(
+  router: Router,
+  running: RunningRequest,
+  event: RequestReceived,
+): RouterDecision {
+  const { request, atMs } = event;
+  const route = isRunning(router, request.fingerprint) ? undefined : chooseAlone(router, running);
+  if (route === undefined) {
+    const refusal = notRun('suspect-busy', 'Suspect content has to wait for its turn');
+    return { state: router, effects: refuse(request.id, refusal) };
+  }
+  const admitted = admitRequest(router, request, event);
+  if (admitted.type === 'refused') {
+    return { state: router, effects: refuse(request.id, admitted.refusal) };
+  }
+  const addressed = addressRoute(router.configuration, route);
+  const { admission } = admitted;
+  return openAttempt(
+    { ...router, admission },
+    { ...running, isAlone: true },
+    route,
+    addressed,
+    atMs,
+  );
+}
+
+function isRunning(router: Router, fingerprint: string): boolean {
+  return router.requests.some((other) => other.request.fingerprint === fingerprint);
+}
+
 /** @returns the request as it starts, or why it does not */
 function createRunning(router: Router, request: Request): RunningRequest | Refusal {
   if (!router.isAccepting) return notRun(router.refusalReason, 'This VM takes no new requests');
@@ -69,7 +108,10 @@
     paceDeviationMs: 0,
     expectedFirstMs: 0,
     avoided: [],
+    proven: [],
     doubted: [],
+    isAlone: false,
+    waitsSinceMs: request.receivedAtMs,
     mayHaveRun: false,
     hasRun: false,
   };
