Designate a suspect's servers on every VM alike and remember failed engines

A suspect's route is hashed over the configured engines, whatever their health is: a VM that knew a crashed server as down took another one before. An engine that failed a stream is avoided for two seconds unless it serves others.

--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -6,10 +6,14 @@
 import { hideBin } from 'yargs/helpers';
 import type { Measurement } from './measurement';
 import { overload } from './overload';
+import { poison } from './poison';
+import { recovery } from './recovery';
 import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   overload,
+  poison,
+  recovery,
   throughput,
 };
 
--- a/src/requests/changeEngineUse.ts
+++ b/src/requests/changeEngineUse.ts
@@ -5,7 +5,13 @@
 import type { EngineUse } from './engineUse';
 import type { Route } from '../pipelines/route';
 
-const UNUSED: EngineUse = { running: 0, prefillTokens: 0, servedAtMs: 0, report: undefined };
+const UNUSED: EngineUse = {
+  running: 0,
+  prefillTokens: 0,
+  servedAtMs: 0,
+  failedAtMs: -Infinity,
+  report: undefined,
+};
 
 /**
  * @param uses all engines
--- a/src/requests/chooseAlone.ts
+++ b/src/requests/chooseAlone.ts
@@ -1,6 +1,7 @@
 /**
  * Chooses the route of a suspect: the same on every VM, by rendezvous hashing of its content over the
- * engines (Thaler and Ravishankar, IEEE/ACM ToN 6(1), 1998), away from other suspects.
+ * configured engines (Thaler and Ravishankar, IEEE/ACM ToN 6(1), 1998), whatever their health is, so
+ * that no VM takes a third server where the designated one has just crashed.
  */
 
 import { hash32 } from '../hashing/hash32';
@@ -12,19 +13,29 @@
 /**
  * @param router the router
  * @param running the suspect
- * @returns the route, or undefined where other suspects or failures leave none
+ * @returns the route, or undefined while one of its engines is down or has another suspect
  */
 export function chooseAlone(router: Router, running: RunningRequest): Route | undefined {
-  const pipeline = router.pipelines.get(running.model);
-  if (pipeline === undefined) return undefined;
-  const taken = new Set(running.avoided);
+  const { fingerprint } = running.request;
+  const crashed = router.suspicion.records.get(fingerprint)?.servers ?? [];
+  const engines = [...router.configuration.engine.values()].filter(
+    ({ id, model, role }) =>
+      model === running.model && role !== 'idle' && role !== 'prefill' && !crashed.includes(id),
+  );
+  const route = findRoute(engines, { from: 0, to: running.layers }, (engine) =>
+    hash32(engine, hash32(fingerprint)),
+  );
+  return route !== undefined && isFree(router, running, route) ? route : undefined;
+}
+
+function isFree(router: Router, running: RunningRequest, route: Route): boolean {
+  const usable = router.pipelines.get(running.model)?.engines ?? [];
+  const taken = new Set<string>();
   for (const other of router.requests.values()) {
     if (!other.isAlone || other.phase !== 'streaming') continue;
     for (const stage of other.route) taken.add(stage.engine);
   }
-  const engines = pipeline.engines.filter((engine) => !taken.has(engine.id));
-  const { fingerprint } = running.request;
-  return findRoute(engines, { from: 0, to: running.layers }, (engine) =>
-    hash32(engine, hash32(fingerprint)),
+  return route.every(
+    ({ engine }) => !taken.has(engine) && usable.some((item) => item.id === engine),
   );
 }
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -128,3 +128,12 @@
 
 /** Tokens after a crash that clear a content of it. */
 export const CLEARING_TOKENS = 2;
+
+/** Time for which an engine that failed a stream is avoided unless it serves others, milliseconds. */
+export const FAILED_MS = 2000;
+
+/** Factor of the load of such an engine. */
+export const FAILED_FACTOR = 1000;
+
+/** Least silence after a resumed stream was opened that counts as a stall, milliseconds. */
+export const RESUME_STALL_MS = 500;
--- a/src/requests/engineUse.ts
+++ b/src/requests/engineUse.ts
@@ -19,5 +19,7 @@
   readonly prefillTokens: number;
   /** When a token last came back from it, milliseconds; rounded down to `SERVED_STEP_MS`. */
   readonly servedAtMs: number;
+  /** When it last failed a stream of this VM, milliseconds; before any, minus infinity. */
+  readonly failedAtMs: number;
   readonly report: SeenReport | undefined;
 }
--- a/src/requests/loadOf.ts
+++ b/src/requests/loadOf.ts
@@ -7,7 +7,7 @@
 
 import type { BackendServerId } from '../backendServers/backendServer';
 import type { Pipeline } from '../pipelines/pipeline';
-import { REPORT_HALF_LIFE_MS } from './constants';
+import { FAILED_FACTOR, FAILED_MS, REPORT_HALF_LIFE_MS } from './constants';
 import type { EngineUse } from './engineUse';
 import type { Router } from './router';
 
@@ -31,7 +31,13 @@
   const streams = use === undefined ? 0 : use.running + othersRunning(router, use, atMs);
   const evenRate = pipeline.tokensPerSecond / Math.max(1, pipeline.engines.length);
   const rate = pipeline.engineRates.get(engine) ?? evenRate * UNPLANNED_SHARE;
-  return (streams + 1) / Math.max(rate, Number.MIN_VALUE);
+  const penalty = use !== undefined && hasFailed(use, atMs) ? FAILED_FACTOR : 1;
+  return (penalty * (streams + 1)) / Math.max(rate, Number.MIN_VALUE);
+}
+
+/** An engine that failed of late and has brought nothing since. */
+function hasFailed({ failedAtMs, servedAtMs }: EngineUse, atMs: number): boolean {
+  return failedAtMs > servedAtMs && atMs - failedAtMs < FAILED_MS;
 }
 
 function othersRunning(router: Router, { running, report }: EngineUse, atMs: number): number {
--- a/src/requests/receiveKv.ts
+++ b/src/requests/receiveKv.ts
@@ -1,6 +1,7 @@
 /** Opens the next attempt once the engines have said what KV cache they kept. */
 
 import type { KvExport } from '../contracts/engineContract';
+import { noteFailure } from './noteFailure';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
 import type { RouterEvent } from './routerMessage';
@@ -15,7 +16,9 @@
   if (!isAwaited) return { state: router, effects: [] };
   const kvExports = event.exports.filter((item) => item.request === event.request);
   const cleared = clearDoubt(running, kvExports);
-  const reopened = reopenRequest(router, cleared, kvExports, event);
+  const mute = cleared.avoided.filter((engine) => !running.avoided.includes(engine));
+  const noted = noteFailure(router, mute, event.atMs);
+  const reopened = reopenRequest(noted, cleared, kvExports, event);
   const timer = `kv/${event.request}`;
   return { state: reopened.state, effects: [{ type: 'clear-timer', timer }, ...reopened.effects] };
 }
--- a/src/requests/recoverRequest.ts
+++ b/src/requests/recoverRequest.ts
@@ -11,6 +11,7 @@
 import { endRequest } from './endRequest';
 import { isAwaitingFirstToken } from './isAwaitingFirstToken';
 import { judgeContent } from './judgeContent';
+import { noteFailure } from './noteFailure';
 import { releaseRoute } from './releaseRoute';
 import { reopenRequest } from './reopenRequest';
 import { refusalOf } from './refusalOf';
@@ -47,14 +48,22 @@
   at: { readonly atMs: number; readonly seed: number },
 ): RouterDecision {
   const shutOut = shutOutAttempt(running, broke);
-  const blamed = blame(releaseRoute(router, running), running, broke, at.atMs);
+  const blamed = blame(
+    noteFailure(releaseRoute(router, running), noted(broke), at.atMs),
+    running,
+    broke,
+    at.atMs,
+  );
   const freed = blamed.state;
   const cancel = [...cancelAttempt(router, running, broke), ...blamed.effects];
   if (shutOut.attempt > MAX_ATTEMPTS || running.isAlone) {
     return giveUp(freed, shutOut, broke, cancel);
   }
   const verdict = judgeContent(freed, running.request.fingerprint, at.atMs);
-  if (verdict === 'refused') return giveUp(freed, shutOut, broke, cancel);
+  if (verdict === 'refused') {
+    const reason = 'suspect-content';
+    return giveUp(freed, shutOut, { ...broke, reason }, cancel);
+  }
   if (verdict === 'alone' && running.deliveredCount === 0)
     return waitForTurn(freed, shutOut, cancel, at.atMs);
   if (running.deliveredCount === 0) {
@@ -73,6 +82,11 @@
   };
 }
 
+/** Where one of several engines stalled, which one shows only in the answers to `find-kv`. */
+function noted(broke: Break): readonly BackendServerId[] {
+  return (broke.doubted?.length ?? 0) > 1 ? [] : broke.failed;
+}
+
 function blame(
   router: Router,
   running: RunningRequest,
