Weigh replacement stages by their links and raise the limit faster

A repaired route took the least loaded engine even behind a link a hundred times slower. Engines that did not answer find-kv are now left out together where any other answered; before, only the first silent one was, and streams used up their attempts one dead engine at a time.

It now rises by a fifth while the first token takes less than half of what it may.

--- a/measurements/recovery.ts
+++ b/measurements/recovery.ts
@@ -32,6 +32,7 @@
 export const recovery: Measurement = (options, print) => {
   const figures = run(options);
   const { times, rebuilds } = figures;
+  print([...figures.reasons].map(([reason, count]) => `${reason} ${count}`).join(', '));
   print(`${times.length} streams were hit; ${figures.lost} requests lost of ${figures.sent}`);
   print(
     `p50 ${percentileOf(times, 0.5).toFixed(0)} ms, p99 ${percentileOf(times, 0.99).toFixed(0)} ms`,
--- a/src/requests/adaptAdmission.ts
+++ b/src/requests/adaptAdmission.ts
@@ -12,6 +12,7 @@
   LIMIT_FALL,
   LIMIT_FLOOR,
   LIMIT_RISE,
+  LIMIT_START_RISE,
   LOWER_PAUSE,
   MAX_SHARED_WORKSPACES,
 } from './constants';
@@ -76,7 +77,8 @@
     return { limit: Math.max(LIMIT_FLOOR, limit * part), loweredAtMs: atMs };
   }
   const isUsed = running > limit * 0.75;
-  const raised = Math.min(router.options.maxRunning, limit * LIMIT_RISE + 1);
+  const rise = -overMs > firstTokenMs ? LIMIT_START_RISE : LIMIT_RISE;
+  const raised = Math.min(router.options.maxRunning, limit * rise + 1);
   return { limit: isUsed ? raised : limit, loweredAtMs };
 }
 
--- a/src/requests/chooseRoute.ts
+++ b/src/requests/chooseRoute.ts
@@ -8,6 +8,7 @@
 
 import type { BackendServerId } from '../backendServers/backendServer';
 import { hash32 } from '../hashing/hash32';
+import { linkFactor } from '../links/linkFactor';
 import { findRoute } from '../pipelines/findRoute';
 import type { Pipeline, PlannedPath, PlannedStage } from '../pipelines/pipeline';
 import { repairRoute } from '../pipelines/repairRoute';
@@ -46,10 +47,33 @@
     if (planned !== undefined) return planned;
   }
   const engines = pipeline.engines.filter((engine) => !running.avoided.includes(engine.id));
-  if (running.route.length > 0) return repairRoute(running.route, engines, load);
+  if (running.route.length > 0) {
+    const factor = createNearness(router, running);
+    return repairRoute(running.route, engines, (engine) => load(engine) * factor(engine));
+  }
   return findRoute(engines, { from: 0, to: running.layers }, load);
 }
 
+/** Weighs an engine by the slowest link to and from the stages that stay in the route. */
+function createNearness(
+  { configuration }: Router,
+  running: RunningRequest,
+): (engine: BackendServerId) => number {
+  const domainOf = (engine: BackendServerId): string =>
+    configuration.backendServer.get(engine)?.failureDomain ?? '';
+  const kept = running.route.filter((stage) => !running.avoided.includes(stage.engine));
+  const domains = [...new Set(kept.map((stage) => domainOf(stage.engine)))];
+  const { link } = configuration;
+  return (engine) => {
+    const own = domainOf(engine);
+    const factors = domains.flatMap((other) => [
+      linkFactor(link, other, own),
+      linkFactor(link, own, other),
+    ]);
+    return Math.max(1, ...factors);
+  };
+}
+
 function choosePlanned(
   pipeline: Pipeline,
   fingerprint: string,
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -9,7 +9,7 @@
 export const KV_LOOKUP_MS = 60;
 
 /** Attempts that one request gets at most. */
-export const MAX_ATTEMPTS = 6;
+export const MAX_ATTEMPTS = 12;
 
 /** Time after which a stream is first looked at for a stall, milliseconds. */
 export const STALL_CHECK_MS = 250;
@@ -57,7 +57,7 @@
 export const ADAPT_MS = 250;
 
 /** Requests that run at once before anything was learned of the time to the first token. */
-export const LIMIT_START = 64;
+export const LIMIT_START = 128;
 
 /** Least limit of requests that run at once. */
 export const LIMIT_FLOOR = 4;
@@ -65,6 +65,9 @@
 /** Factor of the limit while the first token comes soon enough and the limit is used. */
 export const LIMIT_RISE = 1.05;
 
+/** Factor of the limit while the first token takes less than half of what it may. */
+export const LIMIT_START_RISE = 1.2;
+
 /** Least factor by which the limit is lowered at once when the first token comes late. */
 export const LIMIT_FALL = 0.8;
 
--- a/src/requests/receiveKv.ts
+++ b/src/requests/receiveKv.ts
@@ -23,11 +23,11 @@
   return { state: reopened.state, effects: [{ type: 'clear-timer', timer }, ...reopened.effects] };
 }
 
-/** A doubted engine that answered is cleared where another did not: that one is avoided instead. */
+/** Where any engine answered, the doubted ones that did not are avoided, and the others cleared. */
 function clearDoubt(running: RunningRequest, kvExports: readonly KvExport[]): RunningRequest {
   const answered = new Set(kvExports.map((item) => item.engine));
   const mute = running.doubted.filter((engine) => !answered.has(engine));
-  const isTelling = mute.length > 0 && mute.length < running.doubted.length;
+  const isTelling = mute.length > 0 && answered.size > 0;
   if (!isTelling) return running;
   const avoided = running.avoided.filter((engine) => !running.doubted.includes(engine));
   return { ...running, avoided: [...avoided, ...mute], doubted: [] };
