--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -4,16 +4,24 @@
 
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { configuration } from './configuration';
+import { daemon } from './daemon';
 import type { Measurement } from './measurement';
+import { membership } from './membership';
 import { overload } from './overload';
 import { poison } from './poison';
 import { recovery } from './recovery';
+import { plansFaults } from './plansFaults';
 import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
+  configuration,
+  daemon,
+  membership,
   overload,
   poison,
   recovery,
+  plansFaults,
   throughput,
 };
 
