--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -12,6 +12,8 @@
 import { poison } from './poison';
 import { recovery } from './recovery';
 import { plansFaults } from './plansFaults';
+import { stampede } from './stampede';
+import { throughputLedger } from './throughputLedger';
 import { throughput } from './throughput';
 
 const measurements: Readonly<Record<string, Measurement>> = {
@@ -21,6 +23,8 @@
   overload,
   poison,
   recovery,
+  ledger: throughputLedger,
+  stampede,
   plansFaults,
   throughput,
 };
