--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -14,7 +14,11 @@
 import { placement } from './placement';
 import { plans } from './plans';
 import { plansFaults } from './plansFaults';
+import { poison } from './poison';
+import { recovery } from './recovery';
+import { stampede } from './stampede';
 import { throughput } from './throughput';
+import { throughputLedger } from './throughputLedger';
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
@@ -25,8 +29,12 @@
   overload,
   placement,
   plans,
-  plansFaults,
+  'plans-faults': plansFaults,
+  poison,
+  recovery,
+  stampede,
   throughput,
+  ledger: throughputLedger,
 };
 
 async function main(): Promise<void> {
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -9,7 +9,7 @@
 export const KV_LOOKUP_MS = 60;
 
 /** Attempts that one request gets at most. */
-export const MAX_ATTEMPTS = 6;
+export const MAX_ATTEMPTS = 12;
 
 /** Time after which a stream is first looked at for a stall, milliseconds. */
 export const STALL_CHECK_MS = 250;
@@ -57,7 +57,7 @@
 export const ADAPT_MS = 250;
 
 /** Requests that run at once before anything was learned of the time to the first token. */
-export const LIMIT_START = 64;
+export const LIMIT_START = 128;
 
 /** Least limit of requests that run at once. */
 export const LIMIT_FLOOR = 4;
@@ -65,11 +65,17 @@
 /** Factor of the limit while the first token comes soon enough and the limit is used. */
 export const LIMIT_RISE = 1.05;
 
-/** Factor of the limit while the first token comes late. */
-export const LIMIT_FALL = 0.9;
+/** Factor of the limit while the first token takes less than half of what it may. */
+export const LIMIT_START_RISE = 1.2;
+
+/** Least factor by which the limit is lowered at once when the first token comes late. */
+export const LIMIT_FALL = 0.8;
+
+/** Times to the first token that have to pass before the limit is lowered again. */
+export const LOWER_PAUSE = 1.5;
 
 /** Part of the target for the first token that the mean is held at. */
-export const FIRST_TOKEN_GOAL = 0.5;
+export const FIRST_TOKEN_GOAL = 0.12;
 
 /** Part of the limit by which workspaces under and over their share are told apart. */
 export const SHARE_ROOM = 0.1;
@@ -98,3 +104,39 @@
 
 /** Timer of the adaptation of admission. */
 export const ADMISSION_TIMER = 'admission';
+
+/** Crashes after which a content is refused. */
+export const MAX_CRASHES = 2;
+
+/** Time for which a crash is held against a content, milliseconds. */
+export const SUSPECT_MS = 60_000;
+
+/** Contents that one VM holds crashes against at most. */
+export const MAX_SUSPECTS = 10_000;
+
+/** Crashes of one failure domain within the window that make an outage. */
+export const OUTAGE_CRASHES = 3;
+
+/** Window in which crashes make an outage, milliseconds. */
+export const CRASH_WINDOW_MS = 2000;
+
+/** Time before a suspect's second try, in which the other VMs learn of it, milliseconds. */
+export const SUSPECT_NEWS_MS = 400;
+
+/** Time for which a suspect waits for its turn at most, milliseconds. */
+export const TURN_WAIT_MS = 3000;
+
+/** Time between two looks whether a suspect's turn has come, milliseconds. */
+export const TURN_CHECK_MS = 50;
+
+/** Tokens after a crash that clear a content of it. */
+export const CLEARING_TOKENS = 2;
+
+/** Time for which an engine that failed a stream is avoided unless it serves others, milliseconds. */
+export const FAILED_MS = 2000;
+
+/** Factor of the load of such an engine. */
+export const FAILED_FACTOR = 1000;
+
+/** Least silence after a resumed stream was opened that counts as a stall, milliseconds. */
+export const RESUME_STALL_MS = 500;
--- a/src/requests/receiveKv.ts
+++ b/src/requests/receiveKv.ts
@@ -1,6 +1,7 @@
 /** Opens the next attempt once the engines have said what KV cache they kept. */
 
 import type { KvExport } from '../contracts/engineContract';
+import { noteFailure } from './noteFailure';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
 import type { RouterEvent } from './routerMessage';
@@ -15,16 +16,18 @@
   if (!isAwaited) return { state: router, effects: [] };
   const kvExports = event.exports.filter((item) => item.request === event.request);
   const cleared = clearDoubt(running, kvExports);
-  const reopened = reopenRequest(router, cleared, kvExports, event);
+  const mute = cleared.avoided.filter((engine) => !running.avoided.includes(engine));
+  const noted = noteFailure(router, mute, event.atMs);
+  const reopened = reopenRequest(noted, cleared, kvExports, event);
   const timer = `kv/${event.request}`;
   return { state: reopened.state, effects: [{ type: 'clear-timer', timer }, ...reopened.effects] };
 }
 
-/** A doubted engine that answered is cleared where another did not: that one is avoided instead. */
+/** Where any engine answered, the doubted ones that did not are avoided, and the others cleared. */
 function clearDoubt(running: RunningRequest, kvExports: readonly KvExport[]): RunningRequest {
   const answered = new Set(kvExports.map((item) => item.engine));
   const mute = running.doubted.filter((engine) => !answered.has(engine));
-  const isTelling = mute.length > 0 && mute.length < running.doubted.length;
+  const isTelling = mute.length > 0 && answered.size > 0;
   if (!isTelling) return running;
   const avoided = running.avoided.filter((engine) => !running.doubted.includes(engine));
   return { ...running, avoided: [...avoided, ...mute], doubted: [] };
