Hold each model's running requests by the interval between tokens and by the plan

Cause: the running limit followed the mean time to the first token alone. Engines that prefer prompts keep that short while decoding slows, so the limit rose until streams took several times their target; one limit for all models also let a full model hold back the others. Change: the limit is kept for each model. It starts at what the plan allows by Little's law, follows the plan when engines or VMs go, and moves in proportion to the worse of first token and token interval against their goals.

--- a/src/pipelines/pipeline.ts
+++ b/src/pipelines/pipeline.ts
@@ -18,6 +18,8 @@
 }
 
 export interface Pipeline {
+  /** What the plan was made from; see fleetKey. */
+  readonly key: string;
   readonly model: ModelId;
   readonly layers: number;
   /** Engines of the model that may get new work. */
--- a/src/pipelines/planPipeline.ts
+++ b/src/pipelines/planPipeline.ts
@@ -5,6 +5,7 @@
 import type { EngineClass } from './engineClass';
 import { findCuts } from './findCuts';
 import type { Fleet } from './fleet';
+import { fleetKey } from './fleetKey';
 import { groupEngines } from './groupEngines';
 import type { Pipeline, PlannedPath, PlannedStage } from './pipeline';
 import { solveFlow } from './solveFlow';
@@ -32,6 +33,7 @@
   );
   const cumulativeRates = sumRates(paths);
   return {
+    key: fleetKey(fleet),
     model: model.id,
     layers: model.layers,
     engines,
--- a/src/requests/admitRequest.ts
+++ b/src/requests/admitRequest.ts
@@ -6,7 +6,7 @@
 
 import type { NotRun } from '../outcomes/outcome';
 import type { WorkspaceId } from '../workspaces/workspace';
-import type { Admission, Bucket, WorkspaceLoad } from './admission';
+import type { Admission, Bucket, ModelLoad, WorkspaceLoad } from './admission';
 import {
   BUCKET_MS,
   FILL_OF_PRIORITY,
@@ -15,9 +15,12 @@
   SHARE_ROOM,
 } from './constants';
 import { createWorkspaceLoad } from './createWorkspaceLoad';
+import { enterModel } from './enterModel';
+import { modelLoadOf } from './modelLoadOf';
 import { ownPart } from './ownPart';
 import type { Request } from './request';
 import type { Router } from './router';
+import type { RunningRequest } from './runningRequest';
 import { MS_PER_SECOND } from '../units';
 
 export type AdmissionDecision =
@@ -26,21 +29,23 @@
 
 /**
  * @param router the router
- * @param request the request
+ * @param asked the request and its model
  * @param at when, and randomness for the time to come back
  */
 export function admitRequest(
   router: Router,
-  request: Request,
+  asked: Pick<RunningRequest, 'request' | 'model'>,
   at: { readonly atMs: number; readonly seed: number },
 ): AdmissionDecision {
   const { admission } = router;
+  const { request, model } = asked;
+  const modelLoad = modelLoadOf(router, model);
   const load = admission.workspaces.get(request.workspace) ?? createWorkspaceLoad(at.atMs);
   const bucket = fillBucket(router, request.workspace, load, at.atMs);
   const reason =
     findLimit(router, request, load, bucket) ??
-    findDeadline(router, request, at.atMs) ??
-    findShortage(router, request, load);
+    findDeadline(modelLoad, request, at.atMs) ??
+    findShortage(router, request, modelLoad);
   if (reason !== undefined) {
     const retryAfterMs = RETRY_AFTER_MS + (at.seed % RETRY_JITTER_MS);
     const detail = `Refused by ${reason}; nothing ran`;
@@ -59,7 +64,9 @@
     },
   };
   const workspaces = admission.workspaces.set(request.workspace, taken);
-  return { type: 'admitted', admission: { ...admission, workspaces } };
+  const entered = enterModel(modelLoad, request.workspace, shareOf(router, request.workspace));
+  const models = admission.models.set(model, entered);
+  return { type: 'admitted', admission: { ...admission, workspaces, models } };
 }
 
 /** Refills the credit of a workspace at this VM's part of the limits. */
@@ -112,8 +119,12 @@
   return bucket.tokens <= 0 ? 'tokens-per-second' : undefined;
 }
 
-function findDeadline(router: Router, request: Request, atMs: number): string | undefined {
-  return atMs + router.admission.firstTokenMs > request.deadlineAtMs ? 'deadline' : undefined;
+function findDeadline(
+  { firstTokenMs }: ModelLoad,
+  { deadlineAtMs }: Request,
+  atMs: number,
+): string | undefined {
+  return atMs + firstTokenMs > deadlineAtMs ? 'deadline' : undefined;
 }
 
 /**
@@ -123,19 +134,23 @@
 function findShortage(
   router: Router,
   { workspace, priority }: Request,
-  load: WorkspaceLoad,
+  load: ModelLoad,
 ): string | undefined {
-  const { admission, requests } = router;
   const room = isUnderShare(router, workspace, load) ? 1 + SHARE_ROOM : 1 - SHARE_ROOM;
-  const limit = admission.limit * room * FILL_OF_PRIORITY[priority];
-  return requests.size >= limit ? 'overloaded' : undefined;
+  return load.running >= load.limit * room * FILL_OF_PRIORITY[priority] ? 'overloaded' : undefined;
+}
+
+function isUnderShare(
+  router: Router,
+  workspace: WorkspaceId,
+  { limit, shares, runningOf }: ModelLoad,
+): boolean {
+  const share = shareOf(router, workspace);
+  const running = runningOf.get(workspace, 0);
+  const all = running === 0 ? shares + share : shares;
+  return running < (limit * share) / all;
 }
 
-function isUnderShare(router: Router, workspace: WorkspaceId, load: WorkspaceLoad): boolean {
-  const { admission, configuration, acceptingVms } = router;
-  const shareOf = (id: WorkspaceId): number => configuration.workspace.get(id)?.share ?? 0;
-  let shares = admission.workspaces.has(workspace) ? 0 : shareOf(workspace);
-  for (const id of admission.workspaces.keys()) shares += shareOf(id);
-  const fair = (admission.limit * acceptingVms * shareOf(workspace)) / shares;
-  return load.running + load.othersRunning < fair;
+function shareOf({ configuration }: Router, workspace: WorkspaceId): number {
+  return configuration.workspace.get(workspace)?.share ?? 0;
 }
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -56,26 +56,23 @@
 /** Time between two adaptations of admission, each with a digest of the own use, milliseconds. */
 export const ADAPT_MS = 250;
 
-/** Requests that run at once before anything was learned of the time to the first token. */
-export const LIMIT_START = 128;
-
 /** Least limit of requests that run at once. */
 export const LIMIT_FLOOR = 4;
 
-/** Factor of the limit while the first token comes soon enough and the limit is used. */
-export const LIMIT_RISE = 1.05;
-
-/** Factor of the limit while the first token takes less than half of what it may. */
-export const LIMIT_START_RISE = 1.2;
+/** Part of the limit by which one adaptation moves it, for each goal's distance from the goal. */
+export const LIMIT_GAIN = 0.15;
 
-/** Least factor by which the limit is lowered at once when the first token comes late. */
-export const LIMIT_FALL = 0.8;
+/** Times over its goal beyond which a lateness lowers the limit no faster. */
+export const MOST_PRESSURE = 2;
 
-/** Times to the first token that have to pass before the limit is lowered again. */
-export const LOWER_PAUSE = 1.5;
+/** Part of the limit that has to be used before it is raised. */
+export const LIMIT_USED = 0.75;
 
 /** Part of the target for the first token that the mean is held at. */
-export const FIRST_TOKEN_GOAL = 0.12;
+export const FIRST_TOKEN_GOAL = 0.5;
+
+/** Part of the target for the time between tokens that the mean is held at. */
+export const INTERVAL_GOAL = 0.8;
 
 /** Part of the limit by which workspaces under and over their share are told apart. */
 export const SHARE_ROOM = 0.1;
--- a/src/requests/createRouter.ts
+++ b/src/requests/createRouter.ts
@@ -3,7 +3,7 @@
 import { Map } from 'immutable';
 import { createConfiguration } from '../configuration/createConfiguration';
 import { chooseRoute } from './chooseRoute';
-import { ANSWER_TOKENS, LIMIT_START, MAX_RUNNING, PROMPT_TOKENS, RETRY_BURST } from './constants';
+import { ANSWER_TOKENS, MAX_RUNNING, PROMPT_TOKENS, RETRY_BURST } from './constants';
 import type { Router, RouterOptions } from './router';
 
 /**
@@ -11,7 +11,7 @@
  * @returns a router that refuses every request until a configuration arrives
  */
 export function createRouter(given: Partial<RouterOptions> = {}): Router {
-  const options = { maxRunning: MAX_RUNNING, startLimit: LIMIT_START, chooseRoute, ...given };
+  const options = { maxRunning: MAX_RUNNING, startLimit: undefined, chooseRoute, ...given };
   return {
     options,
     configuration: createConfiguration(),
@@ -21,11 +21,7 @@
     engines: Map(),
     admission: {
       workspaces: Map(),
-      limit: options.startLimit,
-      firstTokenMs: 0,
-      firstTokens: 0,
-      firstTokenSumMs: 0,
-      loweredAtMs: 0,
+      models: Map(),
       adaptedAtMs: 0,
     },
     suspicion: { records: Map(), crashes: [] },
--- a/src/requests/endRequest.ts
+++ b/src/requests/endRequest.ts
@@ -1,6 +1,6 @@
 /** Ends a request: its final answer goes to the caller, and nothing more is kept of it. */
 
-import type { WorkspaceId } from '../workspaces/workspace';
+import { leaveModel } from './leaveModel';
 import type { Admission } from './admission';
 import { releaseRoute } from './releaseRoute';
 import type { RouterDecision, Router } from './router';
@@ -19,13 +19,20 @@
 ): RouterDecision {
   const requests = router.requests.delete(running.request.id);
   const released = releaseRoute(router, running);
-  const admission = leaveWorkspace(router.admission, running.request.workspace);
+  const admission = leaveAdmission(router, running);
   return { state: { ...released, admission, requests }, effects };
 }
 
-function leaveWorkspace(admission: Admission, workspace: WorkspaceId): Admission {
-  const load = admission.workspaces.get(workspace);
-  if (load === undefined) return admission;
-  const left = { ...load, running: load.running - 1 };
-  return { ...admission, workspaces: admission.workspaces.set(workspace, left) };
+function leaveAdmission({ admission, configuration }: Router, running: RunningRequest): Admission {
+  const { workspace } = running.request;
+  const { workspaces, models } = admission;
+  const load = workspaces.get(workspace);
+  const modelLoad = models.get(running.model);
+  if (load === undefined || modelLoad === undefined) return admission;
+  const share = configuration.workspace.get(workspace)?.share ?? 0;
+  return {
+    ...admission,
+    workspaces: workspaces.set(workspace, { ...load, running: load.running - 1 }),
+    models: models.set(running.model, leaveModel(modelLoad, workspace, share)),
+  };
 }
--- a/src/requests/planRouter.ts
+++ b/src/requests/planRouter.ts
@@ -1,7 +1,11 @@
-/** Plans every model's routes anew after a change of configuration or health. */
+/**
+ * Plans routes after a change of configuration or health. A model whose engines, links and figures are
+ * as before keeps its plan, since a plan is a linear program and holds up the node while it is solved.
+ */
 
 import type { Engine, ModelId } from '../engines/engine';
 import type { Fleet } from '../pipelines/fleet';
+import { fleetKey } from '../pipelines/fleetKey';
 import type { Pipeline } from '../pipelines/pipeline';
 import { planPipeline } from '../pipelines/planPipeline';
 import type { Router } from './router';
@@ -25,7 +29,9 @@
       links,
       workload,
     };
-    pipelines.set(model.id, planPipeline(fleet));
+    const before = router.pipelines.get(model.id);
+    const isSame = before?.key === fleetKey(fleet);
+    pipelines.set(model.id, isSame ? before : planPipeline(fleet));
   }
   return { ...router, pipelines };
 }
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -4,6 +4,7 @@
 import { CLEARING_TOKENS, PACE_WEIGHT } from './constants';
 import { endRequest } from './endRequest';
 import { isAwaitingFirstToken } from './isAwaitingFirstToken';
+import { modelLoadOf } from './modelLoadOf';
 import { serveRoute } from './serveRoute';
 import type { Router, RouterDecision } from './router';
 import type { RouterEffect, RouterEvent } from './routerMessage';
@@ -40,9 +41,11 @@
 function noteFirst(router: Router, running: RunningRequest, atMs: number): Router {
   if (running.deliveredCount > 0) return router;
   const { admission } = router;
-  const firstTokenSumMs = admission.firstTokenSumMs + atMs - running.openedAtMs;
-  const firstTokens = admission.firstTokens + 1;
-  return { ...router, admission: { ...admission, firstTokens, firstTokenSumMs } };
+  const load = modelLoadOf(router, running.model);
+  const firstTokenSumMs = load.firstTokenSumMs + atMs - running.openedAtMs;
+  const firstTokens = load.firstTokens + 1;
+  const models = admission.models.set(running.model, { ...load, firstTokens, firstTokenSumMs });
+  return { ...router, admission: { ...admission, models } };
 }
 
 /** Tokens after a crash clear the content of it. */
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -26,8 +26,8 @@
 export interface RouterOptions {
   /** Most requests that this VM runs at once. */
   readonly maxRunning: number;
-  /** Requests that run at once before anything was learned of the time to the first token. */
-  readonly startLimit: number;
+  /** Requests of a model that run at once at first; by default what the plan gives. */
+  readonly startLimit: number | undefined;
   /** Chooses the route of an attempt; measurements put plain baselines in its place. */
   readonly chooseRoute: RouteChoice;
 }
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -7,6 +7,7 @@
 import { chooseAlone } from './chooseAlone';
 import { earnRetry } from './earnRetry';
 import { judgeContent } from './judgeContent';
+import { modelLoadOf } from './modelLoadOf';
 import { openAttempt } from './openAttempt';
 import { refuse } from './refuse';
 import type { Request } from './request';
@@ -31,7 +32,7 @@
     const refusal = notRun('no-route', 'No chain of usable engines holds every layer');
     return { state: router, effects: refuse(request.id, refusal) };
   }
-  const admitted = admitRequest(router, request, event);
+  const admitted = admitRequest(router, running, event);
   if (admitted.type === 'refused') {
     return { state: router, effects: refuse(request.id, admitted.refusal) };
   }
@@ -39,7 +40,7 @@
   const earned = { ...router, admission, retries: earnRetry(router.retries) };
   return openAttempt(
     earned,
-    { ...running, expectedFirstMs: admission.firstTokenMs },
+    { ...running, expectedFirstMs: modelLoadOf(router, running.model).firstTokenMs },
     route,
     addressRoute(router.configuration, route),
     atMs,
@@ -58,7 +59,7 @@
     const refusal = notRun('suspect-busy', 'Suspect content has to wait for its turn');
     return { state: router, effects: refuse(request.id, refusal) };
   }
-  const admitted = admitRequest(router, request, event);
+  const admitted = admitRequest(router, running, event);
   if (admitted.type === 'refused') {
     return { state: router, effects: refuse(request.id, admitted.refusal) };
   }
