--- a/measurements/measure.ts
+++ b/measurements/measure.ts
@@ -5,12 +5,16 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { configuration } from './configuration';
+import { control } from './control';
 import { daemon } from './daemon';
 import type { Measurement } from './measurement';
 import { membership } from './membership';
+import { operations } from './operations';
 import { overload } from './overload';
 import { poison } from './poison';
 import { recovery } from './recovery';
+import { placement } from './placement';
+import { plans } from './plans';
 import { plansFaults } from './plansFaults';
 import { stampede } from './stampede';
 import { throughputLedger } from './throughputLedger';
@@ -18,13 +22,17 @@
 
 const measurements: Readonly<Record<string, Measurement>> = {
   configuration,
+  control,
   daemon,
   membership,
+  operations,
   overload,
   poison,
   recovery,
   ledger: throughputLedger,
   stampede,
+  placement,
+  plans,
   plansFaults,
   throughput,
 };
--- /dev/null
+++ b/src/vms/shareUse.test.ts
@@ -0,0 +1,29 @@
+import { VirtualFleet } from '../../measurements/virtualFleet';
+import type { WorkspaceUse } from '../requests/routerMessage';
+
+function useOf(workspace: string, tokensPerSecond: number): WorkspaceUse {
+  return { workspace, tokensPerSecond, requestsPerSecond: 1, running: 2, ageMs: 0 };
+}
+
+describe('shareUse', () => {
+  it('tells each VM the sum of what the others use', () => {
+    const network = new VirtualFleet({ nodes: 5, seed: 61 });
+    network.startAll();
+    network.run(3000);
+    const sums = new Map<string, number>();
+    network.onEffect = ({ vm }, effect) => {
+      if (effect.type !== 'use-learned') return;
+      expect(effect.acceptingVms).toBe(5);
+      for (const use of effect.uses) sums.set(`${vm.id} ${use.workspace}`, use.tokensPerSecond);
+    };
+    for (let second = 0; second < 6; second += 1) {
+      for (const virtual of network.vms) {
+        const tokens = 100 * (virtual.index + 1);
+        network.deliver(virtual, { type: 'use-shared', uses: [useOf('w1', tokens)] });
+      }
+      network.run(1000);
+    }
+    const others = network.vms.map(({ vm }) => sums.get(`${vm.id} w1`));
+    expect(others).toEqual([1400, 1300, 1200, 1100, 1000]);
+  });
+});
