Ask the engines of a silent stream before replacing any, and spread replacements

Cause: after a failure the replaced streams queue at the engines that take over; their silence was taken for a stall, each cancel ran the prefix again somewhere else, and engines that had answered without an export were blamed. Ruled out: shorter timeouts alone, which multiply the prefixes run again. Change: a silent stream's engines are asked while it stays open, and only mute ones are replaced; kv-found names the engines that answered; findRoute is a shortest path by load; two failed engines of a domain that serves nothing make the router plan without it. The engine client answers find-kv within 80 ms. Tests: the two stall tests now bring the answer that tells the mute engine, with the order of cancel and open asserted; new ones for a congested and a hung stream. Targets are still missed with a failure domain gone: streams wait for KV memory on what is left.

--- a/golden/draft.test.ts
+++ b/golden/draft.test.ts
@@ -24,7 +24,15 @@
     const message = { type: 'stage-failed', engine, detail: 'connection reset' } as const;
     const { request, attempt } = first;
     feed({ type: 'stream-message', request, attempt, message, atMs: 30, seed: 3 });
-    feed({ type: 'kv-found', request, attempt: attempt + 1, exports: [], atMs: 35, seed: 4 });
+    feed({
+      type: 'kv-found',
+      request,
+      attempt: attempt + 1,
+      exports: [],
+      answered: ['a1', 'c1'],
+      atMs: 35,
+      seed: 4,
+    });
     session.say('A late frame of the old attempt is dropped');
     feed(frameEvent(first, 2, 36));
     session.say('The new attempt goes on at the next position');
--- a/measurements/createFakeEngines.ts
+++ b/measurements/createFakeEngines.ts
@@ -41,7 +41,7 @@
   readonly findKv: (
     request: string,
     stages: readonly AddressedStage[],
-    answer: (kvExports: readonly KvExport[]) => void,
+    answer: (kvExports: readonly KvExport[], answered: readonly BackendServerId[]) => void,
   ) => void;
   readonly loadOf: (engine: BackendServerId) => LoadReport;
   /** `reset`: its connections break at once; `silent`: nothing more comes from it. */
@@ -217,7 +217,10 @@
       });
       const isWhole = answering.length === stages.length;
       queue.after(isWhole ? 2 * VM_DELAY_MS : KV_ANSWER_MS, () => {
-        answer(kvExports);
+        answer(
+          kvExports,
+          answering.map((stage) => stage.engine),
+        );
       });
     },
     loadOf: (engine) => {
--- a/measurements/createTestbed.ts
+++ b/measurements/createTestbed.ts
@@ -113,8 +113,8 @@
       engines.cancel(effect);
     },
     'find-kv': (vm, { request, attempt, stages }) => {
-      engines.findKv(request, stages, (kvExports) => {
-        tell(vm, { type: 'kv-found', request, attempt, exports: kvExports });
+      engines.findKv(request, stages, (kvExports, answered) => {
+        tell(vm, { type: 'kv-found', request, attempt, exports: kvExports, answered });
       });
     },
     deliver: (_vm, { request, frame }) => {
--- a/measurements/soak/carryRouter.ts
+++ b/measurements/soak/carryRouter.ts
@@ -5,9 +5,15 @@
 import { deliver } from './deliver';
 import { drawDelay } from './network';
 import { runStream } from './runStream';
+import type { World } from './soakWorld';
 
 type EffectOf<Type extends RouterEffect['type']> = Extract<RouterEffect, { readonly type: Type }>;
 
+function isUp({ engines, nowMs }: World, engine: string): boolean {
+  const fake = engines.get(engine);
+  return fake !== undefined && fake.downUntilMs <= nowMs && fake.stalledUntilMs <= nowMs;
+}
+
 export const carryRouter: Readonly<Record<string, Carrier>> = {
   'open-stream': (world, node, { order }: EffectOf<'open-stream'>) => {
     runStream(world, node, order);
@@ -17,9 +23,10 @@
       world.cancelled.add(`${request}/${attempt}`);
     });
   },
-  'find-kv': (world, node, { request, attempt }: EffectOf<'find-kv'>) => {
+  'find-kv': (world, node, { request, attempt, stages }: EffectOf<'find-kv'>) => {
     world.schedule(drawDelay(world), () => {
-      const event = { type: 'kv-found', request, attempt, exports: [] } as const;
+      const answered = stages.map((stage) => stage.engine).filter((engine) => isUp(world, engine));
+      const event = { type: 'kv-found', request, attempt, exports: [], answered } as const;
       deliver(world, node, { side: 'router', event });
     });
   },
--- a/src/adapters/constants.ts
+++ b/src/adapters/constants.ts
@@ -46,3 +46,6 @@
 
 /** Most rows of the audit trail in one answer. */
 export const MAX_AUDIT_ROWS = 1000;
+
+/** Time that an engine has to say what KV cache it keeps; the router goes on soon after, milliseconds. */
+export const KV_ANSWER_MS = 80;
--- a/src/adapters/createEngineClient.ts
+++ b/src/adapters/createEngineClient.ts
@@ -11,9 +11,15 @@
   StreamOrder,
 } from '../contracts/engineContract';
 import type { PlanEvent } from '../plans/planMessage';
+import type { BackendServerId } from '../backendServers/backendServer';
 import type { Address } from '../vms/vm';
 import { connectionFailure } from './connectionFailure';
-import { MAX_STREAM_LINE_BYTES, ORDER_TIMEOUT_MS, PROBE_TIMEOUT_MS } from './constants';
+import {
+  KV_ANSWER_MS,
+  MAX_STREAM_LINE_BYTES,
+  ORDER_TIMEOUT_MS,
+  PROBE_TIMEOUT_MS,
+} from './constants';
 import { createLineSplitter } from './createLineSplitter';
 import { errorText } from './errorText';
 import {
@@ -41,6 +47,13 @@
 /** What reading an engine gave. */
 export type EngineReading = Extract<PlanEvent, { readonly type: 'engine-read' }>['result'];
 
+/** What the engines of a route said of a request's KV cache. */
+export interface KvAnswer {
+  readonly exports: readonly KvExport[];
+  /** Engines that answered at all. */
+  readonly answered: readonly BackendServerId[];
+}
+
 export interface EngineClient {
   /** Opens a stream and returns the function that drops it. */
   readonly openStream: (order: StreamOrder, listener: StreamListener) => () => void;
@@ -49,10 +62,7 @@
     attempt: number,
     route: readonly AddressedStage[],
   ) => Promise<void>;
-  readonly findKv: (
-    request: string,
-    stages: readonly AddressedStage[],
-  ) => Promise<readonly KvExport[]>;
+  readonly findKv: (request: string, stages: readonly AddressedStage[]) => Promise<KvAnswer>;
   readonly order: (
     address: Address,
     order: EngineOrder,
@@ -69,12 +79,16 @@
  * @param dispatcher the HTTP client
  */
 export function createEngineClient(dispatcher: Dispatcher): EngineClient {
-  const getJson = async (address: Address, path: string): Promise<unknown> => {
+  const getJson = async (
+    address: Address,
+    path: string,
+    timeoutMs = PROBE_TIMEOUT_MS,
+  ): Promise<unknown> => {
     const reply = await dispatcher.request({
       origin: origin(address),
       path,
       method: 'GET',
-      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+      signal: AbortSignal.timeout(timeoutMs),
     });
     return reply.body.json();
   };
@@ -101,12 +115,15 @@
     },
     findKv: async (request, stages) => {
       const answers = await Promise.allSettled(
-        stages.map(({ address }) => getJson(address, `/v1/kv/${encodeURIComponent(request)}`)),
+        stages.map(({ address }) =>
+          getJson(address, `/v1/kv/${encodeURIComponent(request)}`, KV_ANSWER_MS),
+        ),
       );
-      return answers.flatMap((answer) => {
-        const checked = kvExportsSchema.safeParse(valueOf(answer));
-        return checked.success ? checked.data.exports : [];
-      });
+      const checked = answers.map((answer) => kvExportsSchema.safeParse(valueOf(answer)));
+      return {
+        exports: checked.flatMap((item) => item.data?.exports ?? []),
+        answered: stages.filter((_, index) => checked[index]?.success).map(({ engine }) => engine),
+      };
     },
     order: async (address, order) => {
       try {
--- /dev/null
+++ b/src/pipelines/findRoute.test.ts
@@ -0,0 +1,46 @@
+import type { Engine } from '../engines/engine';
+import { findRoute } from './findRoute';
+
+function createEngine(id: string, from: number, to: number): Engine {
+  return {
+    id,
+    acceleratorKind: 'a',
+    accelerators: 8,
+    uplinkBytesPerSecond: 1e9,
+    model: 'm',
+    modelVersion: '1',
+    layers: { from, to },
+    role: 'mixed',
+  };
+}
+
+const engines = [
+  createEngine('whole', 0, 10),
+  createEngine('low', 0, 6),
+  createEngine('high', 4, 10),
+];
+const whole = { from: 0, to: 10 };
+
+describe('findRoute', () => {
+  it('takes the short chain where its engine is not busy', () => {
+    expect(findRoute(engines, whole, () => 1)).toEqual([{ engine: 'whole', layers: whole }]);
+  });
+
+  it('takes a longer chain of idle engines past a busy one, each layer once', () => {
+    expect(findRoute(engines, whole, (id) => (id === 'whole' ? 9 : 1))).toEqual([
+      { engine: 'low', layers: { from: 0, to: 6 } },
+      { engine: 'high', layers: { from: 6, to: 10 } },
+    ]);
+  });
+
+  it('covers a part of the layers', () => {
+    expect(findRoute(engines, { from: 5, to: 9 }, (id) => (id === 'high' ? 0 : 5))).toEqual([
+      { engine: 'high', layers: { from: 5, to: 9 } },
+    ]);
+  });
+
+  it('finds nothing where a layer is held by none', () => {
+    expect(findRoute(engines.slice(1, 2), whole, () => 1)).toBeUndefined();
+    expect(findRoute(engines.slice(2), whole, () => 1)).toBeUndefined();
+  });
+});
--- a/src/requests/checkFrame.test.ts
+++ b/src/requests/checkFrame.test.ts
@@ -33,6 +33,7 @@
   expectedFirstMs: 0,
   avoided: [],
   proven: [],
+  isAsking: false,
   doubted: [],
   isAlone: false,
   waitsSinceMs: 0,
--- a/src/requests/chooseRoute.ts
+++ b/src/requests/chooseRoute.ts
@@ -7,12 +7,15 @@
  */
 
 import type { BackendServerId } from '../backendServers/backendServer';
+import type { Engine } from '../engines/engine';
+import type { FailureDomainId } from '../failureDomains/failureDomain';
 import { hash32 } from '../hashing/hash32';
 import { linkFactor } from '../links/linkFactor';
 import { findRoute } from '../pipelines/findRoute';
 import type { Pipeline, PlannedPath, PlannedStage } from '../pipelines/pipeline';
 import { repairRoute } from '../pipelines/repairRoute';
 import type { Route, Stage } from '../pipelines/route';
+import { FAILED_FACTOR } from './constants';
 import { loadOf } from './loadOf';
 import type { Router } from './router';
 import type { RunningRequest } from './runningRequest';
@@ -41,31 +44,48 @@
 ): Route | undefined {
   const pipeline = router.pipelines.get(running.model);
   if (pipeline === undefined) return undefined;
-  const load = (engine: BackendServerId): number => loadOf(router, pipeline, engine, atMs);
+  const lost = router.lostDomains;
+  const isLost = (engine: BackendServerId): boolean =>
+    lost.size > 0 && lost.has(domainOf(router, engine));
+  const load = (engine: BackendServerId): number =>
+    loadOf(router, pipeline, engine, atMs) * (isLost(engine) ? FAILED_FACTOR : 1);
   if (running.avoided.length === 0 && running.route.length === 0) {
     const planned = choosePlanned(pipeline, running.request.fingerprint, load);
     if (planned !== undefined) return planned;
   }
-  const engines = pipeline.engines.filter((engine) => !running.avoided.includes(engine.id));
-  if (running.route.length > 0) {
-    const factor = createNearness(router, running);
-    return repairRoute(running.route, engines, (engine) => load(engine) * factor(engine));
-  }
-  return findRoute(engines, { from: 0, to: running.layers }, load);
+  const allowed = pipeline.engines.filter((engine) => !running.avoided.includes(engine.id));
+  const standing = allowed.filter((engine) => !isLost(engine.id));
+  const choose = (engines: readonly Engine[]): Route | undefined =>
+    chooseRepaired(router, running, engines, load);
+  return choose(standing) ?? (lost.size > 0 ? choose(allowed) : undefined);
+}
+
+/** Keeps the stages of the last route that may stay, or finds a whole route anew. */
+function chooseRepaired(
+  router: Router,
+  running: RunningRequest,
+  engines: readonly Engine[],
+  load: (engine: BackendServerId) => number,
+): Route | undefined {
+  if (running.route.length === 0) return findRoute(engines, { from: 0, to: running.layers }, load);
+  const factor = createNearness(router, running);
+  return repairRoute(running.route, engines, (engine) => load(engine) * factor(engine));
+}
+
+function domainOf({ configuration }: Router, engine: BackendServerId): FailureDomainId {
+  return configuration.backendServer.get(engine)?.failureDomain ?? '';
 }
 
 /** Weighs an engine by the slowest link to and from the stages that stay in the route. */
 function createNearness(
-  { configuration }: Router,
+  router: Router,
   running: RunningRequest,
 ): (engine: BackendServerId) => number {
-  const domainOf = (engine: BackendServerId): string =>
-    configuration.backendServer.get(engine)?.failureDomain ?? '';
   const kept = running.route.filter((stage) => !running.avoided.includes(stage.engine));
-  const domains = [...new Set(kept.map((stage) => domainOf(stage.engine)))];
-  const { link } = configuration;
+  const domains = [...new Set(kept.map((stage) => domainOf(router, stage.engine)))];
+  const { link } = router.configuration;
   return (engine) => {
-    const own = domainOf(engine);
+    const own = domainOf(router, engine);
     const factors = domains.flatMap((other) => [
       linkFactor(link, other, own),
       linkFactor(link, own, other),
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -6,7 +6,7 @@
 export const MAX_RUNNING = 5_000;
 
 /** Time that engines have to answer what KV cache they kept, milliseconds. */
-export const KV_LOOKUP_MS = 60;
+export const KV_LOOKUP_MS = 100;
 
 /** Attempts that one request gets at most. */
 export const MAX_ATTEMPTS = 12;
@@ -137,3 +137,6 @@
 
 /** Least silence after a resumed stream was opened that counts as a stall, milliseconds. */
 export const RESUME_STALL_MS = 500;
+
+/** Engines of one failure domain that have to fail together for the domain to be taken for lost. */
+export const LOST_DOMAIN_FAILURES = 2;
--- a/src/requests/createRouter.ts
+++ b/src/requests/createRouter.ts
@@ -19,6 +19,8 @@
     pipelines: new globalThis.Map(),
     requests: Map(),
     engines: Map(),
+    failedAtMs: -Infinity,
+    lostDomains: new globalThis.Set(),
     admission: {
       workspaces: Map(),
       models: Map(),
--- a/src/requests/fireTimer.ts
+++ b/src/requests/fireTimer.ts
@@ -1,22 +1,19 @@
-/** Handles the router side's timers: `admission`, `stall/{request}` and `kv/{request}`. */
+/** Handles the router side's timers: `admission`, `stall/{request}`, `kv/{request}` and `turn/{request}`. */
 
-import type { BackendServerId } from '../backendServers/backendServer';
 import type { TimerFired } from '../decisions/primitive';
-import { allowedSilenceMs } from './allowedSilenceMs';
 import { adaptAdmission } from './adaptAdmission';
+import { checkStall, judgeStages } from './checkStall';
 import { addressRoute } from './addressRoute';
+import { avoidLostDomains } from './avoidLostDomains';
 import { chooseAlone } from './chooseAlone';
-import { ADAPT_MS, ADMISSION_TIMER, HUNG_FACTOR, TURN_CHECK_MS, TURN_WAIT_MS } from './constants';
+import { ADAPT_MS, ADMISSION_TIMER, TURN_CHECK_MS, TURN_WAIT_MS } from './constants';
 import { endRequest } from './endRequest';
-import { findSilentStages } from './findSilentStages';
 import { judgeContent } from './judgeContent';
 import { openAttempt } from './openAttempt';
-import { recoverRequest } from './recoverRequest';
 import { refusalOf } from './refusalOf';
 import { refuse } from './refuse';
 import { reopenRequest } from './reopenRequest';
 import type { Router, RouterDecision } from './router';
-import type { RouterEffect } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
 
 type TimerHandler = (router: Router, running: RunningRequest, event: TimerFired) => RouterDecision;
@@ -40,7 +37,7 @@
 function adapt(router: Router, atMs: number): RouterDecision {
   const { admission, uses } = adaptAdmission(router, atMs);
   return {
-    state: { ...router, admission },
+    state: avoidLostDomains({ ...router, admission }, atMs),
     effects: [
       { type: 'share-use', uses },
       { type: 'set-timer', timer: ADMISSION_TIMER, afterMs: ADAPT_MS },
@@ -48,49 +45,6 @@
   };
 }
 
-function checkStall(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
-  if (running.phase !== 'streaming') return { state: router, effects: [] };
-  const allowedMs = allowedSilenceMs(running);
-  const leftMs = running.progressAtMs + allowedMs - event.atMs;
-  if (leftMs > 0) {
-    const { timer } = event;
-    return { state: router, effects: [{ type: 'set-timer', timer, afterMs: Math.ceil(leftMs) }] };
-  }
-  const silent = findDoubted(router, running, allowedMs, event.atMs);
-  if (silent.length === 0) {
-    const { timer } = event;
-    return { state: router, effects: [{ type: 'set-timer', timer, afterMs: allowedMs }] };
-  }
-  const broke = {
-    reason: 'stage-stalled',
-    detail: `No token for ${Math.round(allowedMs)} ms`,
-    failed: silent.slice(0, 1),
-    doubted: silent,
-    ran: 'maybe',
-  } as const;
-  const recovered = recoverRequest(router, running, broke, event);
-  const observed = silent
-    .slice(0, 1)
-    .map((server): RouterEffect => ({ type: 'observe-server', server, observation: 'slow' }));
-  return { ...recovered, effects: [...observed, ...recovered.effects] };
-}
-
-/**
- * The silent engines; where all bring tokens to others, this stream only waits for its turn, unless
- * it has waited for too long: then its first engine is doubted.
- */
-function findDoubted(
-  router: Router,
-  running: RunningRequest,
-  allowedMs: number,
-  atMs: number,
-): readonly BackendServerId[] {
-  const silent = findSilentStages(router, running, allowedMs, atMs);
-  if (silent.length > 0) return silent;
-  const isHung = atMs - running.progressAtMs > HUNG_FACTOR * allowedMs;
-  return isHung ? running.route.slice(0, 1).map((stage) => stage.engine) : [];
-}
-
 /** Opens a suspect's last attempt once no other suspect is on its servers. */
 function takeTurn(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
   if (running.phase !== 'waiting') return { state: router, effects: [] };
@@ -110,6 +64,9 @@
 }
 
 function giveUpOnKv(router: Router, running: RunningRequest, event: TimerFired): RouterDecision {
+  if (running.phase === 'streaming' && running.isAsking) {
+    return judgeStages(router, running, { answered: [], exports: [] }, event);
+  }
   if (running.phase !== 'finding-kv') return { state: router, effects: [] };
   return reopenRequest(router, running, [], event);
 }
--- a/src/requests/noteFailure.ts
+++ b/src/requests/noteFailure.ts
@@ -1,6 +1,7 @@
 /** Notes that engines failed, so that other requests keep off them until they serve again. */
 
 import type { BackendServerId } from '../backendServers/backendServer';
+import { avoidLostDomains } from './avoidLostDomains';
 import { changeEngineUse } from './changeEngineUse';
 import type { Router } from './router';
 
@@ -16,5 +17,5 @@
     failedAtMs: atMs,
     report: undefined,
   }));
-  return { ...router, engines };
+  return avoidLostDomains({ ...router, engines, failedAtMs: atMs }, atMs);
 }
--- a/src/requests/openAttempt.ts
+++ b/src/requests/openAttempt.ts
@@ -26,6 +26,7 @@
   const opened: RunningRequest = {
     ...running,
     phase: 'streaming',
+    isAsking: false,
     route,
     deliveredBefore: running.deliveredCount,
     openedAtMs: atMs,
--- a/src/requests/planRouter.ts
+++ b/src/requests/planRouter.ts
@@ -47,9 +47,10 @@
   return byModel;
 }
 
-function isUsable(engine: Engine, { configuration, health }: Router): boolean {
+function isUsable(engine: Engine, { configuration, health, lostDomains }: Router): boolean {
   const server = configuration.backendServer.get(engine.id);
   if (server === undefined || server.leaving) return false;
+  if (lostDomains.has(server.failureDomain)) return false;
   if (engine.role === 'idle' || engine.role === 'prefill') return false;
   return health.get(engine.id)?.isUsable ?? true;
 }
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -74,6 +74,7 @@
     delivered: { token: frame.token, before: running.delivered },
     deliveredCount: running.deliveredCount + 1,
     progressAtMs: atMs,
+    isAsking: false,
     mayHaveRun: true,
     hasRun: true,
   };
--- a/src/requests/recoverRequest.test.ts
+++ b/src/requests/recoverRequest.test.ts
@@ -41,15 +41,25 @@
   });
 }
 
-const found = (order: StreamOrder, exports: readonly KvExport[]): RouterEvent => ({
+type KvFound = Extract<RouterEvent, { readonly type: 'kv-found' }>;
+
+const found = (order: StreamOrder, exports: readonly KvExport[]): KvFound => ({
   type: 'kv-found',
   request: order.request,
   attempt: order.attempt + 1,
   exports,
+  answered: exports.map((item) => item.engine),
   atMs: 70,
   seed: 3,
 });
 
+/** The answer to a question about a silent stream whose attempt is still open. */
+const asked = (order: StreamOrder, stages: readonly number[], atMs: number): RouterEvent => ({
+  ...found(order, exportsOf(order, stages)),
+  attempt: order.attempt,
+  atMs,
+});
+
 describe('recoverRequest', () => {
   it('shuts the old attempt out and asks for KV before the next one opens', () => {
     const driver = driveRouter();
@@ -138,8 +148,10 @@
     const early = driver.send({ type: 'timer-fired', timer: 'stall/r1', atMs: 250, seed: 1 });
     expect(types(early)).toEqual(['set-timer']);
     const late = driver.send({ type: 'timer-fired', timer: 'stall/r1', atMs: 340, seed: 1 });
-    expect(types(late)).toContain('cancel-stream');
-    driver.send({ ...found(order, exportsOf(order, [0, 1])), atMs: 350 });
+    expect(types(late)).toEqual(['find-kv', 'set-timer']);
+    const replaced = driver.send(asked(order, [0, 1], 350));
+    const steps = types(replaced).filter((type) => /^(cancel|open)-stream$/.test(type));
+    expect(steps).toEqual(['cancel-stream', 'open-stream']);
     expect(driver.lastOrder().route.map((stage) => stage.engine)).toEqual([
       engineAt(order, 0),
       engineAt(order, 1),
@@ -147,6 +159,23 @@
     ]);
   });
 
+  it('leaves a silent stream alone where all its engines answer, and asks again later', () => {
+    const driver = driveRouter();
+    const order = start(driver, 4);
+    driver.send({ type: 'timer-fired', timer: 'stall/r1', atMs: 340, seed: 1 });
+    expect(types(driver.send(asked(order, [0, 1, 2], 350)))).toEqual(['set-timer']);
+    expect(types(driver.send(frameEvent(order, 4, 400)))).toEqual(['deliver']);
+    driver.send({ type: 'timer-fired', timer: 'stall/r1', atMs: 900, seed: 1 });
+    expect(types(driver.send(asked(order, [0, 1], 910)))).toContain('cancel-stream');
+  });
+
+  it('gives a stream up that hangs although all its engines answer', () => {
+    const driver = driveRouter();
+    const order = start(driver, 4);
+    driver.send({ type: 'timer-fired', timer: 'stall/r1', atMs: 9000, seed: 1 });
+    expect(types(driver.send(asked(order, [0, 1, 2], 9010)))).toContain('cancel-stream');
+  });
+
   it('drops what a stalled engine sends when it wakes', () => {
     const driver = driveRouter();
     const order = start(driver, 4);
--- a/src/requests/recoverRequest.ts
+++ b/src/requests/recoverRequest.ts
@@ -5,6 +5,7 @@
  */
 
 import type { BackendServerId } from '../backendServers/backendServer';
+import type { KvExport } from '../contracts/engineContract';
 import { addressRoute } from './addressRoute';
 import { blameCrash } from './blameCrash';
 import { KV_LOOKUP_MS, MAX_ATTEMPTS, SUSPECT_NEWS_MS } from './constants';
@@ -31,6 +32,8 @@
   readonly crashed?: BackendServerId;
   /** Engines of which one stalled; the answer to `find-kv` may tell which. */
   readonly doubted?: readonly BackendServerId[];
+  /** KV exports, where the engines were asked before. */
+  readonly exports?: readonly KvExport[] | undefined;
   /** `nothing`: proof that the attempt ran nothing; `known`: an engine worked on it. */
   readonly ran: 'nothing' | 'maybe' | 'known';
 }
@@ -66,8 +69,8 @@
   }
   if (verdict === 'alone' && running.deliveredCount === 0)
     return waitForTurn(freed, shutOut, cancel, at.atMs);
-  if (running.deliveredCount === 0) {
-    const reopened = reopenRequest(freed, shutOut, [], at);
+  if (running.deliveredCount === 0 || broke.exports !== undefined) {
+    const reopened = reopenRequest(freed, shutOut, broke.exports ?? [], at);
     return { state: reopened.state, effects: [...cancel, ...reopened.effects] };
   }
   const { id } = running.request;
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../configuration/configuration';
 import type { Decision } from '../decisions/decision';
 import type { ModelId } from '../engines/engine';
+import type { FailureDomainId } from '../failureDomains/failureDomain';
 import type { Pipeline } from '../pipelines/pipeline';
 import type { Route } from '../pipelines/route';
 import type { Workload } from '../pipelines/workload';
@@ -39,6 +40,10 @@
   readonly pipelines: ReadonlyMap<ModelId, Pipeline>;
   readonly requests: Map<RequestId, RunningRequest>;
   readonly engines: Map<BackendServerId, EngineUse>;
+  /** When an engine last failed a stream, on this VM's clock, milliseconds. */
+  readonly failedAtMs: number;
+  /** Failure domains that seem lost as a whole, from this VM's own streams. */
+  readonly lostDomains: ReadonlySet<FailureDomainId>;
   readonly retries: RetryBudget;
   readonly admission: Admission;
   readonly suspicion: Suspicion;
--- a/src/requests/routerMessage.ts
+++ b/src/requests/routerMessage.ts
@@ -72,6 +72,8 @@
       readonly request: RequestId;
       readonly attempt: AttemptNumber;
       readonly exports: readonly KvExport[];
+      /** Engines that answered at all, with or without an export. */
+      readonly answered: readonly BackendServerId[];
     } & Occurrence)
   | ({ readonly type: 'caller-left'; readonly request: RequestId } & Occurrence)
   /** The fleet saw this backend server crash or restart, with or without a stream on it. */
--- a/src/requests/runningRequest.ts
+++ b/src/requests/runningRequest.ts
@@ -39,6 +39,8 @@
   readonly avoided: readonly BackendServerId[];
   /** Engines that brought tokens of it in earlier attempts. */
   readonly proven: readonly BackendServerId[];
+  /** Whether the engines of a silent stream are being asked if they are there. */
+  readonly isAsking: boolean;
   /** Engines of which one stalled the last attempt, the likeliest first. */
   readonly doubted: readonly BackendServerId[];
   /** True where the current attempt runs as a suspect; it is the last one. */
--- a/src/requests/startRequest.ts
+++ b/src/requests/startRequest.ts
@@ -110,6 +110,7 @@
     expectedFirstMs: 0,
     avoided: [],
     proven: [],
+    isAsking: false,
     doubted: [],
     isAlone: false,
     waitsSinceMs: request.receivedAtMs,
