--- a/src/requests/adaptAdmission.ts
+++ b/src/requests/adaptAdmission.ts
@@ -1,21 +1,14 @@
-/**
- * Adapts the limit of requests that run at once to the time to the first token: up while it is short,
- * down in proportion when it is long (additive increase, multiplicative decrease: Chiu and Jain,
- * Computer Networks and ISDN Systems 17, 1989). Also works out this VM's rates for the digests.
- */
+/** Closes a period of admission: adapts each model's limit, works out this VM's rates for the digests. */
 
+import type { ModelId } from '../engines/engine';
 import { MS_PER_SECOND } from '../units';
-import type { Admission, WorkspaceLoad } from './admission';
-import {
-  FIRST_TOKEN_GOAL,
-  IDLE_WORKSPACE_MS,
-  LIMIT_FALL,
-  LIMIT_FLOOR,
-  LIMIT_RISE,
-  MAX_SHARED_WORKSPACES,
-} from './constants';
+import { adaptLimit } from './adaptLimit';
+import type { Admission, ModelLoad, WorkspaceLoad } from './admission';
+import { IDLE_WORKSPACE_MS, MAX_SHARED_WORKSPACES } from './constants';
+import { meanIntervals } from './meanIntervals';
 import type { Router } from './router';
 import type { WorkspaceUse } from './routerMessage';
+import { sumShares } from './sumShares';
 
 /** @returns the admission of the next period, and this VM's use of the one that ended */
 export function adaptAdmission(
@@ -34,20 +27,11 @@
       const { requestsPerSecond, tokensPerSecond, running } = load;
       return { workspace, requestsPerSecond, tokensPerSecond, running, ageMs: 0 };
     });
-  const { firstTokens, firstTokenSumMs } = admission;
-  const firstTokenMs = firstTokens > 0 ? firstTokenSumMs / firstTokens : admission.firstTokenMs / 2;
-  return {
-    admission: {
-      ...admission,
-      workspaces,
-      limit: adaptLimit(router, firstTokenMs),
-      firstTokenMs,
-      firstTokens: 0,
-      firstTokenSumMs: 0,
-      adaptedAtMs: atMs,
-    },
-    uses,
-  };
+  const intervals = meanIntervals(router, atMs);
+  const models = admission.models
+    .filter((_, model) => router.configuration.model.has(model))
+    .map((load, model) => adaptModel(router, model, load, intervals.get(model) ?? 0));
+  return { admission: { workspaces, models, adaptedAtMs: atMs }, uses };
 }
 
 function closePeriod(load: WorkspaceLoad, seconds: number): WorkspaceLoad {
@@ -60,19 +44,15 @@
   };
 }
 
-function adaptLimit(router: Router, firstTokenMs: number): number {
-  const { limit } = router.admission;
-  const running = router.requests.size;
-  if (firstTokenMs > goalMs(router)) return Math.max(LIMIT_FLOOR, limit * LIMIT_FALL);
-  const isUsed = running > limit * 0.75;
-  return isUsed ? Math.min(router.options.maxRunning, limit * LIMIT_RISE + 1) : limit;
-}
-
-/** A part of the shortest target of all model services. */
-function goalMs(router: Router): number {
-  let shortest = Infinity;
-  for (const service of router.configuration.service.values()) {
-    if (service.kind === 'model') shortest = Math.min(shortest, service.firstTokenTargetMs);
-  }
-  return shortest * FIRST_TOKEN_GOAL;
+function adaptModel(
+  router: Router,
+  model: ModelId,
+  load: ModelLoad,
+  tokenIntervalMs: number,
+): ModelLoad {
+  const { firstTokens, firstTokenSumMs } = load;
+  const firstTokenMs = firstTokens > 0 ? firstTokenSumMs / firstTokens : load.firstTokenMs / 2;
+  const adapted = adaptLimit(router, model, load, { firstTokenMs, tokenIntervalMs });
+  const shares = sumShares(router.configuration, load.runningOf.keys());
+  return { ...adapted, shares, firstTokenMs, firstTokens: 0, firstTokenSumMs: 0 };
 }
--- a/src/requests/checkFrame.test.ts
+++ b/src/requests/checkFrame.test.ts
@@ -32,7 +32,11 @@
   paceDeviationMs: 1,
   expectedFirstMs: 0,
   avoided: [],
+  proven: [],
+  isAsking: false,
   doubted: [],
+  isAlone: false,
+  waitsSinceMs: 0,
   mayHaveRun: true,
   hasRun: true,
 };
--- a/src/requests/receiveFrame.ts
+++ b/src/requests/receiveFrame.ts
@@ -1,9 +1,10 @@
 /** Checks one token frame against the pass ledger and delivers its token. */
 
 import { checkFrame, type FrameFault } from './checkFrame';
-import { PACE_WEIGHT } from './constants';
+import { CLEARING_TOKENS, PACE_WEIGHT } from './constants';
 import { endRequest } from './endRequest';
 import { isAwaitingFirstToken } from './isAwaitingFirstToken';
+import { modelLoadOf } from './modelLoadOf';
 import { serveRoute } from './serveRoute';
 import type { Router, RouterDecision } from './router';
 import type { RouterEffect, RouterEvent } from './routerMessage';
@@ -33,16 +34,29 @@
     return finish(served, next, deliver, frame.finish ?? 'length');
   }
   const requests = router.requests.set(frame.request, next);
-  return { state: { ...served, requests }, effects: [deliver] };
+  return { state: { ...clear(served, next), requests }, effects: [deliver] };
 }
 
 /** The time to the first token of a request's first attempt is what admission goes by. */
 function noteFirst(router: Router, running: RunningRequest, atMs: number): Router {
   if (running.deliveredCount > 0) return router;
   const { admission } = router;
-  const firstTokenSumMs = admission.firstTokenSumMs + atMs - running.openedAtMs;
-  const firstTokens = admission.firstTokens + 1;
-  return { ...router, admission: { ...admission, firstTokens, firstTokenSumMs } };
+  const load = modelLoadOf(router, running.model);
+  const firstTokenSumMs = load.firstTokenSumMs + atMs - running.openedAtMs;
+  const firstTokens = load.firstTokens + 1;
+  const models = admission.models.set(running.model, { ...load, firstTokens, firstTokenSumMs });
+  return { ...router, admission: { ...admission, models } };
+}
+
+/** Tokens after a crash clear the content of it. */
+function clear(router: Router, running: RunningRequest): Router {
+  const isCleared = running.deliveredCount - running.deliveredBefore === CLEARING_TOKENS;
+  if (!isCleared || router.suspicion.records.size === 0) return router;
+  const { fingerprint } = running.request;
+  const record = router.suspicion.records.get(fingerprint);
+  if (record === undefined) return router;
+  const records = router.suspicion.records.set(fingerprint, { ...record, isCleared });
+  return { ...router, suspicion: { ...router.suspicion, records } };
 }
 
 function dropFrame(router: Router, reason: FrameFault | 'unknown-request'): RouterDecision {
@@ -60,6 +74,7 @@
     delivered: { token: frame.token, before: running.delivered },
     deliveredCount: running.deliveredCount + 1,
     progressAtMs: atMs,
+    isAsking: false,
     mayHaveRun: true,
     hasRun: true,
   };
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '../configuration/configuration';
 import type { Decision } from '../decisions/decision';
 import type { ModelId } from '../engines/engine';
+import type { FailureDomainId } from '../failureDomains/failureDomain';
 import type { Pipeline } from '../pipelines/pipeline';
 import type { Route } from '../pipelines/route';
 import type { Workload } from '../pipelines/workload';
@@ -14,6 +15,7 @@
 import type { RetryBudget } from './retryBudget';
 import type { RouterEffect, ServerHealth } from './routerMessage';
 import type { RunningRequest } from './runningRequest';
+import type { Suspicion } from './suspicion';
 
 /** @returns the route, or undefined where the usable engines do not hold every layer */
 export type RouteChoice = (
@@ -25,8 +27,8 @@
 export interface RouterOptions {
   /** Most requests that this VM runs at once. */
   readonly maxRunning: number;
-  /** Requests that run at once before anything was learned of the time to the first token. */
-  readonly startLimit: number;
+  /** Requests of a model that run at once at first; by default what the plan gives. */
+  readonly startLimit: number | undefined;
   /** Chooses the route of an attempt; measurements put plain baselines in its place. */
   readonly chooseRoute: RouteChoice;
 }
@@ -38,8 +40,13 @@
   readonly pipelines: ReadonlyMap<ModelId, Pipeline>;
   readonly requests: Map<RequestId, RunningRequest>;
   readonly engines: Map<BackendServerId, EngineUse>;
+  /** When an engine last failed a stream, on this VM's clock, milliseconds. */
+  readonly failedAtMs: number;
+  /** Failure domains that seem lost as a whole, from this VM's own streams. */
+  readonly lostDomains: ReadonlySet<FailureDomainId>;
   readonly retries: RetryBudget;
   readonly admission: Admission;
+  readonly suspicion: Suspicion;
   /** VMs that accept new work, this one included. */
   readonly acceptingVms: number;
   /** Mean shape of the requests of late. */
--- a/src/requests/routerMessage.ts
+++ b/src/requests/routerMessage.ts
@@ -25,6 +25,8 @@
   readonly crashes: number;
   /** The one backend server that a suspect may run on, where one is designated. */
   readonly designated?: BackendServerId;
+  /** The backend servers that crashed under it, so that one crash counts once on every VM. */
+  readonly servers?: readonly BackendServerId[];
   /** Age since the last crash, milliseconds; ages travel, not clock readings. */
   readonly ageMs: number;
 }
@@ -70,6 +72,8 @@
       readonly request: RequestId;
       readonly attempt: AttemptNumber;
       readonly exports: readonly KvExport[];
+      /** Engines that answered at all, with or without an export. */
+      readonly answered: readonly BackendServerId[];
     } & Occurrence)
   | ({ readonly type: 'caller-left'; readonly request: RequestId } & Occurrence)
   /** The fleet saw this backend server crash or restart, with or without a stream on it. */
