Keep what a model service states that it needs in revisions

Cause: the revision schema dropped neededTokensPerSecond, so a stated need was lost once the revision was read back, and later plans on that service saw a change that nobody had made. Change: the schema reads it; a round trip of such a service is tested, and failed before.

--- a/src/configuration/decodeRevision.test.ts
+++ b/src/configuration/decodeRevision.test.ts
@@ -18,6 +18,22 @@
     expect(decodeRevision(encodeRevision(revision))).toEqual({ type: 'decoded', revision });
   });
 
+  it('keeps what a model service states that it needs', () => {
+    const service = {
+      kind: 'model',
+      id: 'drafter',
+      workspace: 'w1',
+      model: 'm',
+      firstTokenTargetMs: 1300,
+      tokenIntervalTargetMs: 26,
+      neededTokensPerSecond: 800,
+      maxTokens: 4096,
+    } as const;
+    const change = { type: 'put', kind: 'service', key: 'w1/drafter', value: service } as const;
+    const stated = { ...revision, changes: [change] };
+    expect(decodeRevision(encodeRevision(stated))).toEqual({ type: 'decoded', revision: stated });
+  });
+
   it('refuses text that is not JSON, a wrong shape and a wrong object', () => {
     const wrong = { ...revision, changes: [{ ...revision.changes[0], value: { id: 'nbo-b' } }] };
     for (const text of ['{', '{}', JSON.stringify(wrong)]) {
--- a/src/configuration/revisionSchema.ts
+++ b/src/configuration/revisionSchema.ts
@@ -27,6 +27,7 @@
     model: id,
     firstTokenTargetMs: amount,
     tokenIntervalTargetMs: amount,
+    neededTokensPerSecond: z.number().positive().optional(),
     maxTokens: amount,
   }),
   z.object({
