Carry the crashed servers with a suspect content between VMs

Cause: digests named only a count, so two VMs that each saw one crash of another server both went on with one crash; the content could take a third server down. Change: up to four crashed servers travel in an optional fifth place of the tuple, which older VMs pass over; crashes of different servers are counted together on every VM. Ruled out: adding the counts up, which counts one crash twice where two VMs saw it.

--- a/src/vms/fleetConstants.ts
+++ b/src/vms/fleetConstants.ts
@@ -215,3 +215,6 @@
 
 /** Time that a drain mark may take to reach every VM, added to the validity, milliseconds. */
 export const DRAIN_SPREAD_MS = 2000;
+
+/** Crashed servers that are named with one suspect content; two are enough to refuse it. */
+export const MAX_SUSPECT_SERVERS = 4;
--- a/src/vms/gossip.ts
+++ b/src/vms/gossip.ts
@@ -5,7 +5,11 @@
  */
 
 import { z } from 'zod';
-import { MAX_DIGESTS_PER_DATAGRAM, MAX_ENTRIES_PER_DATAGRAM } from './fleetConstants';
+import {
+  MAX_DIGESTS_PER_DATAGRAM,
+  MAX_ENTRIES_PER_DATAGRAM,
+  MAX_SUSPECT_SERVERS,
+} from './fleetConstants';
 
 /** Version of the body that this program writes. */
 export const GOSSIP_VERSION = 1;
@@ -34,8 +38,10 @@
 /** server, state (1 leaving), age in ms, incarnation hash, whether passed on, then its load if any. */
 const digest = z.tuple([id, count, age, count, count]).rest(z.unknown());
 
-/** fingerprint, crashes, designated server or null, age in ms. */
-const suspect = z.tuple([id, count, id.nullable(), age]).rest(z.unknown());
+/** fingerprint, crashes, designated server or null, age in ms, then the servers that crashed. */
+const suspect = z
+  .tuple([id, count, id.nullable(), age, z.array(id).max(MAX_SUSPECT_SERVERS).optional()])
+  .rest(z.unknown());
 
 /** workspace, tokens a second, requests a second, running, age in ms. */
 const use = z.tuple([id, z.number(), z.number(), z.number(), age]).rest(z.unknown());
--- a/src/vms/shareSuspects.ts
+++ b/src/vms/shareSuspects.ts
@@ -2,7 +2,12 @@
 
 import type { Suspect } from '../requests/routerMessage';
 import type { Fleet, FleetDecision } from './fleet';
-import { FORGET_SUSPECT_MS, MAX_SUSPECTS, RUMOR_SENDS_PER_DOUBLING } from './fleetConstants';
+import {
+  FORGET_SUSPECT_MS,
+  MAX_SUSPECTS,
+  MAX_SUSPECT_SERVERS,
+  RUMOR_SENDS_PER_DOUBLING,
+} from './fleetConstants';
 import type { SuspectTuple } from './gossip';
 import type { FleetEffect } from './fleetMessage';
 
@@ -21,10 +26,11 @@
   tuples: readonly SuspectTuple[],
   atMs: number,
 ): FleetDecision {
-  const suspects = tuples.map(([fingerprint, crashes, designated, ageMs]) => ({
+  const suspects = tuples.map(([fingerprint, crashes, designated, ageMs, servers = []]) => ({
     fingerprint,
     crashes,
     ageMs,
+    servers,
     ...(designated === null ? {} : { designated }),
   }));
   const { fleet: state, news } = learn(fleet, suspects, atMs);
@@ -38,7 +44,7 @@
   readonly news: readonly Suspect[];
 }
 
-/** More crashes are news; so is the lesser name of two designated servers, so that all agree. */
+/** What no VM knew before is news: another crash, or the lesser name of two designated servers. */
 function learn(fleet: Fleet, suspects: readonly Suspect[], atMs: number): Learned {
   const news: Suspect[] = [];
   let known = fleet.sharing.suspects;
@@ -47,18 +53,35 @@
     const before = known.get(suspect.fingerprint)?.suspect;
     if (before !== undefined && !isNews(suspect, before)) continue;
     if (before === undefined && known.size >= MAX_SUSPECTS) known = known.remove(oldest(known));
+    const joined = joinSuspects(suspect, before);
     const crashedAtMs = atMs - suspect.ageMs;
-    known = known.set(suspect.fingerprint, { suspect, crashedAtMs, sends });
-    news.push(suspect);
+    known = known.set(suspect.fingerprint, { suspect: joined, crashedAtMs, sends });
+    news.push(joined);
   }
   const kept = known.filter(({ crashedAtMs }) => atMs - crashedAtMs < FORGET_SUSPECT_MS);
   return { fleet: { ...fleet, sharing: { ...fleet.sharing, suspects: kept } }, news };
 }
 
 function isNews(suspect: Suspect, before: Suspect): boolean {
-  if (suspect.crashes !== before.crashes) return suspect.crashes > before.crashes;
-  if (suspect.designated === undefined) return false;
-  return before.designated === undefined || suspect.designated < before.designated;
+  const joined = joinSuspects(suspect, before);
+  const isMore = joined.crashes > before.crashes;
+  const isWider = (joined.servers?.length ?? 0) > (before.servers?.length ?? 0);
+  return isMore || isWider || joined.designated !== before.designated;
+}
+
+/** Crashes of different servers are different crashes, whichever VM saw them. */
+function joinSuspects(suspect: Suspect, before: Suspect | undefined): Suspect {
+  if (before === undefined) return suspect;
+  const all = new Set([...(before.servers ?? []), ...(suspect.servers ?? [])]);
+  const servers = [...all].slice(0, MAX_SUSPECT_SERVERS);
+  const crashes = Math.max(before.crashes, suspect.crashes, servers.length);
+  const designated = lesser(before.designated, suspect.designated);
+  return { ...suspect, servers, crashes, ...(designated === undefined ? {} : { designated }) };
+}
+
+function lesser(one: string | undefined, other: string | undefined): string | undefined {
+  if (one === undefined || other === undefined) return one ?? other;
+  return one < other ? one : other;
 }
 
 function oldest(known: Fleet['sharing']['suspects']): string {
--- a/src/vms/takeSuspects.ts
+++ b/src/vms/takeSuspects.ts
@@ -28,10 +28,12 @@
   for (const known of suspects.values()) {
     if (tuples.length >= MAX_SUSPECTS_PER_DATAGRAM) break;
     if (known.sends === 0) continue;
-    const { fingerprint, crashes, designated } = known.suspect;
-    bytes += SUSPECT_BYTES + fingerprint.length + (designated?.length ?? 1);
+    const { fingerprint, crashes, designated, servers = [] } = known.suspect;
+    const texts = [fingerprint, designated ?? '', ...servers].join();
+    bytes += SUSPECT_BYTES + texts.length;
     if (bytes > budget) break;
-    tuples.push([fingerprint, crashes, designated ?? null, Math.round(atMs - known.crashedAtMs)]);
+    const ageMs = Math.round(atMs - known.crashedAtMs);
+    tuples.push([fingerprint, crashes, designated ?? null, ageMs, [...servers]]);
     next = next.set(fingerprint, { ...known, sends: known.sends - 1 });
   }
   if (tuples.length === 0) return { fleet, tuples };
