Refuse a service that the revision does not know as not-run

Cause: right after a burst of commits a VM can be over a second behind (seen with three daemons); a call to a service that was just opened got failed, which tells the caller to mend a call that was right, although nothing ran. Change: the refusal is not-run with a time to come back. The test failed before.

--- a/src/operations/findMethod.ts
+++ b/src/operations/findMethod.ts
@@ -34,6 +34,8 @@
   retryAfterMs: RETRY_AFTER_MS,
 };
 
+/** Nothing ran; and a VM that is a revision behind may know the service a moment later. */
 function missing(reason: string, detail: string): FoundMethod {
-  return { type: 'missing', refusal: { outcome: 'failed', reason, detail } };
+  const retryAfterMs = RETRY_AFTER_MS;
+  return { type: 'missing', refusal: { outcome: 'not-run', reason, detail, retryAfterMs } };
 }
--- a/src/operations/reduceOperations.test.ts
+++ b/src/operations/reduceOperations.test.ts
@@ -163,6 +163,15 @@
     expect(pick(later, 'call-backend')).toHaveLength(1);
   });
 
+  it('refuses as not-run, to be tried again, what its revision does not know', () => {
+    const driver = startDriver();
+    const effects = driver.feed(receive({ service: 'opened-since' }));
+    expect(pick(effects, 'call-backend')).toEqual([]);
+    expect(pick(effects, 'answer').map(({ result }) => result)).toMatchObject([
+      { refusal: { outcome: 'not-run', reason: 'service-unknown', retryAfterMs: 1000 } },
+    ]);
+  });
+
   it('refuses as not-run before it has a configuration', () => {
     const driver = startDriver();
     driver.feed({ type: 'configuration-changed', configuration: createConfiguration() });
