Show the fleet side a pause before anything that queued up during it

Cause: after a pause the first event may be a queued request; the router acted on it before the fleet side had seen the time and could stop new work. Change: a node that sees no event for half a second hands the fleet side one event first and settles what follows from it. The new test fails where the wake is only queued before the event, since crossings then come after it.

--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -38,6 +38,7 @@
   const { keys, vm, limits } = settings;
   const ticketKeys = keys.previous === undefined ? [keys.current] : [keys.current, keys.previous];
   return {
+    seenAtMs: undefined,
     router: createRouter({ maxRunning: limits.concurrentRequests }),
     operations: createOperations({ vm: vm.id, incarnation, ticketKeys }),
     fleet: createFleet({ answerValidMs: settings.answerValidMs }),
--- a/src/node/createNodeReducer.test.ts
+++ b/src/node/createNodeReducer.test.ts
@@ -13,7 +13,7 @@
 }
 
 const at = { atMs: 5, seed: 9 };
-const empty = { router: [], operations: [], fleet: [], plans: [] };
+const empty = { seenAtMs: undefined, router: [], operations: [], fleet: [], plans: [] };
 
 describe('createNodeReducer', () => {
   it('carries an effect of one side to the others and keeps it from the shell', () => {
@@ -35,6 +35,24 @@
     expect(effects).toEqual([{ side: 'fleet', effect: { type: 'list-vms' } }]);
   });
 
+  it('shows the fleet side a pause before what queued up during it reaches another side', () => {
+    const reduce = createNodeReducer<Log, Log, Log, Log>({
+      router: recorder<'router'>([]),
+      operations: recorder<'operations'>([]),
+      plans: recorder<'plans'>([]),
+      fleet: recorder<'fleet'>([
+        { type: 'accepting-changed', isAccepting: false, reason: 'woken' },
+      ]),
+    });
+    const left = { type: 'caller-left', request: 'r1', seed: 9 } as const;
+    const before = reduce(empty, { side: 'router', event: { ...left, atMs: 5 } }).state;
+    const soon = reduce(before, { side: 'router', event: { ...left, atMs: 400 } }).state;
+    expect(soon).toMatchObject({ router: ['caller-left', 'caller-left'], fleet: [] });
+    const late = reduce(soon, { side: 'router', event: { ...left, atMs: 2000 } }).state;
+    expect(late.fleet).toEqual(['timer-fired']);
+    expect(late.router.slice(2)).toEqual(['accepting-changed', 'caller-left']);
+  });
+
   it('refuses sides that tell each other the same thing for ever', () => {
     const reduce = createNodeReducer<Log, Log, Log, Log>({
       router: (state) => ({ state, effects: [{ type: 'share-use', uses: [] }] }),
--- a/src/node/createNodeReducer.ts
+++ b/src/node/createNodeReducer.ts
@@ -9,6 +9,8 @@
 
 /** State of each side. */
 export interface Node<Router, Operations, Fleet, Plans> {
+  /** Time of the last event, on this VM's clock, milliseconds; undefined before the first. */
+  readonly seenAtMs: number | undefined;
   readonly router: Router;
   readonly operations: Operations;
   readonly fleet: Fleet;
@@ -23,9 +25,18 @@
   readonly plans: Reducer<Plans, SideEvents['plans'], SideEffects['plans']>;
 }
 
+/** A step of a whole node. */
+export type NodeReducer<Router, Operations, Fleet, Plans> = (
+  state: Node<Router, Operations, Fleet, Plans>,
+  event: NodeEvent,
+) => Decision<Node<Router, Operations, Fleet, Plans>, NodeEffect>;
+
 /** Crossings that one event may cause before the reducer calls it a loop. */
 const MAX_CROSSINGS = 10_000;
 
+/** Time without any event after which the VM may have been paused, milliseconds. */
+const GAP_MS = 500;
+
 type SideReducer = (state: unknown, event: unknown) => Decision<unknown, NodeEffect['effect']>;
 
 /**
@@ -36,14 +47,11 @@
  */
 export function createNodeReducer<Router, Operations, Fleet, Plans>(
   sides: Sides<Router, Operations, Fleet, Plans>,
-): (
-  state: Node<Router, Operations, Fleet, Plans>,
-  event: NodeEvent,
-) => Decision<Node<Router, Operations, Fleet, Plans>, NodeEffect> {
+): NodeReducer<Router, Operations, Fleet, Plans> {
   const reducers = sides as Readonly<Record<SideName, unknown>> as Readonly<
     Record<SideName, SideReducer>
   >;
-  return (state, first) => {
+  const settle: NodeReducer<Router, Operations, Fleet, Plans> = (state, first) => {
     let next = state;
     const effects: NodeEffect[] = [];
     const pending: NodeEvent[] = [first];
@@ -60,4 +68,24 @@
     }
     return { state: next, effects };
   };
+  return (state, event) => {
+    const { atMs } = event.event;
+    const seen = { ...state, seenAtMs: atMs };
+    if (!isAfterGap(state.seenAtMs, atMs)) return settle(seen, event);
+    const woken = settle(seen, wakeOf(event));
+    const { state: next, effects } = settle(woken.state, event);
+    return { state: next, effects: [...woken.effects, ...effects] };
+  };
+}
+
+function isAfterGap(seenAtMs: number | undefined, atMs: number): boolean {
+  return seenAtMs !== undefined && atMs - seenAtMs > GAP_MS;
+}
+
+/**
+ * What queued up during a pause may be a new request. The fleet side has to see the pause first, so
+ * that it can stop the other sides before they act on what they knew then; any event shows it the time.
+ */
+function wakeOf({ event: { atMs, seed } }: NodeEvent): NodeEvent {
+  return { side: 'fleet', event: { type: 'timer-fired', timer: 'pause', atMs, seed } };
 }
