Hold events of overlapping pauses to the later end in the random run

Cause: soak seed 6535, 300 steps, sent a deposit to a server that had been leaving for 9947 ms. The trace shows a second, shorter pause that ended the first one early; events held for the first end then reached the woken VM as fresh, a datagram 13 s old among them, where the run's network holds datagrams for at most 1 s. The case is not one that the run allows; the program did as it should. Change: a pause never ends earlier than one that is running. The seed is a test, and failed before. Ruled out: a quarantine of words after a wake, which answers the same trace but not a datagram that the network holds back.

--- a/measurements/soak/applyFault.ts
+++ b/measurements/soak/applyFault.ts
@@ -30,7 +30,7 @@
     },
     pause: (world, fault, untilMs) => {
       const node = pickNode(world, fault);
-      node.pausedUntilMs = untilMs;
+      node.pausedUntilMs = Math.max(node.pausedUntilMs, untilMs);
       return node.vm.id;
     },
     partition: (world, fault, untilMs) => {
--- a/measurements/soak/runSoak.test.ts
+++ b/measurements/soak/runSoak.test.ts
@@ -186,6 +186,10 @@
     expect(cut).toEqual([0, 0, 0]);
   });
 
+  it('holds events of overlapping pauses to the later end, so that none comes late to a woken VM', () => {
+    expect(runSoak(planSoak(6535, 300)).findings.lateDispatchToLeaving).toBe(0);
+  });
+
   it('shrinks a failing run to fewer faults that still fail', () => {
     const plans = Array.from({ length: MOST_SEEDS }, (_, index) => planSoak(index + 1, 60));
     const plan = plans.find((item) => hasFailed(runSoak(item, saysNotRun)));
