--- a/src/requests/blameCrash.ts
+++ b/src/requests/blameCrash.ts
@@ -1,7 +1,8 @@
 /** Notes on a content that a backend server crashed while it ran there. */
 
 import type { BackendServerId } from '../backendServers/backendServer';
-import { CRASH_WINDOW_MS, MAX_SUSPECTS, OUTAGE_CRASHES, SUSPECT_MS } from './constants';
+import { CRASH_WINDOW_MS, OUTAGE_CRASHES, SUSPECT_MS } from './constants';
+import { pruneSuspects } from './pruneSuspects';
 import type { Router, RouterDecision } from './router';
 import type { RunningRequest } from './runningRequest';
 import type { RecentCrash, SuspectRecord, Suspicion } from './suspicion';
@@ -26,7 +27,7 @@
   }
   const { fingerprint } = running.request;
   const record = addCrash(router.suspicion.records.get(fingerprint), server, atMs);
-  const records = prune(router.suspicion.records, atMs).set(fingerprint, record);
+  const records = pruneSuspects(router.suspicion.records, atMs).set(fingerprint, record);
   const suspect = { fingerprint, crashes: record.crashes, ageMs: 0, servers: record.servers };
   return {
     state: { ...router, suspicion: { records, crashes } },
@@ -83,9 +84,3 @@
   const servers = [...record.servers, server];
   return { servers, crashes: record.crashes + 1, lastCrashAtMs: atMs, isCleared: false };
 }
-
-function prune(records: Suspicion['records'], atMs: number): Suspicion['records'] {
-  if (records.size < MAX_SUSPECTS) return records;
-  const fresh = records.filter((record) => atMs - record.lastCrashAtMs < SUSPECT_MS);
-  return fresh.size < MAX_SUSPECTS ? fresh : fresh.skip(fresh.size - MAX_SUSPECTS + 1);
-}
