Serve opaque requests over chains of layers on the users' platform

Cause: the product had no way to carry requests by host and prefix, to hold keys, to send on chosen paths or to place layers by memory for requests, and no adapter for the users' platform. Added: catalog, chains, gateway, peers and placing as pure decisions; a shell in src/adapters/gateway; the adapter in platform/. Before: nothing served.

--- /dev/null
+++ b/src/adapters/gateway/createExecutorSeat.ts
@@ -0,0 +1,66 @@
+/** Takes, holds and gives up the row that says which VM places layers. */
+
+import type { StoreRow, WatchedStore } from '../../contracts/watchedStore';
+import type { LogFields } from '../../gateway/job';
+import { electExecutor } from '../../placing/electExecutor';
+import type { ExecutorRow } from '../../placing/electExecutor';
+import type { PeerRecord } from '../../peers/peer';
+
+export interface ExecutorSeat {
+  /** @returns whether this VM is the executor now */
+  readonly tick: (live: readonly PeerRecord[]) => boolean;
+  readonly learnRow: (row: StoreRow | undefined) => void;
+  readonly giveUp: () => Promise<void>;
+}
+
+export interface ExecutorSeatOptions {
+  readonly store: WatchedStore;
+  readonly table: string;
+  readonly key: string;
+  readonly self: PeerRecord;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/** Creates a seat that is not held. */
+export function createExecutorSeat(options: ExecutorSeatOptions): ExecutorSeat {
+  const { store, table, key, self, log } = options;
+  let row: ExecutorRow | undefined;
+  let isAsking = false;
+
+  const take = async (): Promise<void> => {
+    isAsking = true;
+    const value = JSON.stringify({ vm: self.vm, incarnation: self.incarnation });
+    const result = await store.write(table, [{ key, value, ifVersion: row?.version ?? 0 }]);
+    isAsking = false;
+    log('executor asked for', { result: result.type, heldBy: row?.vm });
+    if (result.type === 'committed') row = { ...self, version: result.version };
+  };
+  return {
+    tick: (live) => {
+      const verdict = electExecutor({ row, self, live });
+      if (verdict === 'take' && !isAsking) void take();
+      return verdict === 'hold';
+    },
+    learnRow: (stored) => {
+      const next = parseRow(stored);
+      if (next !== undefined && row !== undefined && next.version < row.version) return;
+      if (next?.incarnation !== row?.incarnation) log('executor is', { vm: next?.vm });
+      row = next;
+    },
+    giveUp: async () => {
+      if (row?.incarnation !== self.incarnation) return;
+      await store.write(table, [{ key, value: undefined, ifVersion: row.version }]);
+    },
+  };
+}
+
+/** A row that cannot be read counts as one that nobody holds. */
+function parseRow(stored: StoreRow | undefined): ExecutorRow | undefined {
+  if (stored?.value === undefined) return undefined;
+  try {
+    const { vm, incarnation } = JSON.parse(stored.value) as Readonly<Record<string, unknown>>;
+    return { vm: String(vm), incarnation: String(incarnation), version: stored.version };
+  } catch {
+    return { vm: '', incarnation: '', version: stored.version };
+  }
+}
--- /dev/null
+++ b/src/adapters/gateway/openExchange.ts
@@ -0,0 +1,84 @@
+/**
+ * One request to a backend server on a connection of its own. A fresh connection costs one round trip
+ * and can carry neither a late answer to an earlier request nor the silence of a connection that was
+ * lost unnoticed; a failure before it is established proves that nothing was sent.
+ */
+
+import { Agent, request as sendRequest } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+
+export interface ExchangeRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Buffer | undefined;
+}
+
+export interface ExchangeHandlers {
+  readonly onReply: (reply: IncomingMessage) => void;
+  /** No reply came; `isSent` is false where no byte can have reached the server. */
+  readonly onFailure: (failure: { readonly isSent: boolean; readonly detail: string }) => void;
+}
+
+export interface Exchange {
+  /** Closes the connection; no handler is called afterwards. */
+  readonly abort: () => void;
+}
+
+/** Time for a connection to be established: several round trips between failure domains. */
+const CONNECT_TIMEOUT_MS = 250;
+
+const agent = new Agent({ keepAlive: false });
+
+/** Sends a request and hands on the reply or the failure, once. */
+export function openExchange(request: ExchangeRequest, handlers: ExchangeHandlers): Exchange {
+  const [host, port] = request.address.split(':');
+  let isSent = false;
+  let isOver = false;
+  const outgoing = sendRequest({
+    agent,
+    host,
+    port: Number(port),
+    method: request.method,
+    path: request.path,
+    headers: request.headers,
+  });
+  const fail = (detail: string): void => {
+    if (isOver) return;
+    isOver = true;
+    clearTimeout(timer);
+    outgoing.destroy();
+    handlers.onFailure({ isSent, detail });
+  };
+  const timer = setTimeout(() => {
+    fail('connect timeout');
+  }, CONNECT_TIMEOUT_MS);
+  outgoing.on('socket', (socket) => {
+    socket.setNoDelay(true);
+    socket.once('connect', () => {
+      isSent = true;
+      clearTimeout(timer);
+    });
+  });
+  outgoing.on('error', (error) => {
+    fail(error.message);
+  });
+  outgoing.on('response', (reply) => {
+    if (isOver) {
+      reply.destroy();
+      return;
+    }
+    isOver = true;
+    clearTimeout(timer);
+    handlers.onReply(reply);
+  });
+  outgoing.end(request.body);
+  return {
+    abort: () => {
+      isOver = true;
+      clearTimeout(timer);
+      outgoing.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/src/adapters/gateway/readReplyBody.ts
@@ -0,0 +1,41 @@
+/** Reads a whole reply, so that nothing of it is delivered before it is known to be complete. */
+
+import type { IncomingMessage } from 'node:http';
+
+export type ReplyBody =
+  | { readonly type: 'whole'; readonly body: Buffer }
+  | { readonly type: 'broken'; readonly detail: string };
+
+/** Largest reply that is held in memory, bytes; far above what plain services answer. */
+const MAX_REPLY_BYTES = 8 * 1024 * 1024;
+
+/**
+ * @param reply the reply, nothing of it read yet
+ * @returns the body, or why it is not complete
+ */
+export function readReplyBody(reply: IncomingMessage): Promise<ReplyBody> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const breakOff = (detail: string): void => {
+      resolve({ type: 'broken', detail });
+    };
+    reply.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= MAX_REPLY_BYTES) return;
+      reply.destroy();
+      breakOff('too large');
+    });
+    reply.on('end', () => {
+      if (reply.complete) resolve({ type: 'whole', body: Buffer.concat(chunks) });
+      else breakOff('ended early');
+    });
+    reply.on('error', (error) => {
+      breakOff(error.message);
+    });
+    reply.on('close', () => {
+      breakOff('closed');
+    });
+  });
+}
--- /dev/null
+++ b/src/adapters/gateway/serveStream.ts
@@ -0,0 +1,183 @@
+/**
+ * Serves a stream over as many attempts as it takes: each goes on after the last event that the caller
+ * has, so that the caller sees one stream with every event once.
+ */
+
+import { findChain } from '../../chains/findChain';
+import type { Stage } from '../../chains/layerEngine';
+import type { WaitingRoom } from './createWaitingRoom';
+import type { GatewayHost, Job } from '../../gateway/job';
+import { refuseJob } from './refuseJob';
+import { runStreamAttempt } from './runStreamAttempt';
+import type { AttemptEnd } from './runStreamAttempt';
+import type { StreamProgress } from '../../gateway/streamProgress';
+
+/** Part of the first event's target that a request may wait for room. */
+const WAIT_SHARE = 0.5;
+
+/** Longest wait of a stream that has begun for room to go on, milliseconds; callers leave soon after. */
+const RESUME_WAIT_MS = 1_200;
+
+/** Rest of an engine that had no room or part, milliseconds: until other work on it has moved. */
+const REST_MS = 300;
+
+/** When to come back where chains are full, and where there is none, milliseconds. */
+const FULL_RETRY_MS = 1_000;
+const NO_CHAIN_RETRY_MS = 2_500;
+
+/** Attempts after which a stream is given up, however they failed. */
+const MAX_ATTEMPTS = 6;
+
+/** Serves the job to its end. */
+export async function serveStream(host: GatewayHost, job: Job, room: WaitingRoom): Promise<void> {
+  const { rule, profile } = job;
+  let progress: StreamProgress = {
+    lastEventId: job.head.lastEventId,
+    events: 0,
+    meanGapMs: 0,
+    activeMs: job.arrivedMs,
+  };
+  const tokens = expectedTokens(job);
+  let sent = 0;
+  let mayHaveRun = false;
+  let lastEnd: AttemptEnd | undefined;
+  host.budgets.noteRequest(profile.name);
+  for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
+    const stages = await awaitChain(host, job, room, tokens, progress.events > 0);
+    if (job.isOver()) return;
+    const mayRepeat = sent === 0 || host.budgets.takeRetry(profile.name);
+    if (stages === undefined || !mayRepeat) break;
+    const end = await runStreamAttempt(host, {
+      job,
+      model: profile.model,
+      stages,
+      tokens,
+      progress,
+      onProgress: (next) => {
+        progress = next;
+      },
+    });
+    logAttempt(host, job, stages, end, progress);
+    if (end.type === 'stopped') return;
+    lastEnd = end;
+    const entry = stages[0]?.id ?? '';
+    if (end.type === 'unreached') host.board.suspect(entry, end.detail);
+    else sent += 1;
+    if (end.type === 'complete') {
+      job.response.end();
+      return;
+    }
+    if (end.type === 'answered') break;
+    if (end.type === 'not-run') noteRefusal(host, end.fault, entry);
+    if (end.type === 'broken') {
+      mayHaveRun = true;
+      if (!rule.isResumable) break;
+      void host.probes.ask(entry);
+      host.board.rest(entry, REST_MS);
+    }
+  }
+  if (!job.isOver()) finish(host, job, lastEnd, mayHaveRun);
+}
+
+/** Prompt and answer as far as they can be foreseen. */
+function expectedTokens({ head, profile }: Job): number {
+  const usual = profile.model?.usualAnswerTokens ?? 0;
+  const answer = head.expectedAnswerTokens ?? usual;
+  return head.promptTokens + Math.min(head.maxAnswerTokens, answer);
+}
+
+async function awaitChain(
+  host: GatewayHost,
+  job: Job,
+  room: WaitingRoom,
+  tokens: number,
+  hasBegun: boolean,
+): Promise<readonly Stage[] | undefined> {
+  const patienceMs = hasBegun ? RESUME_WAIT_MS : job.rule.targetMs * WAIT_SHARE;
+  const untilMs = Math.min(job.expiresMs, host.now() + patienceMs);
+  for (;;) {
+    const stages = searchChain(host, job, tokens);
+    if (stages !== undefined) return stages;
+    const isWoken = await room.wait(hasBegun ? -1 : job.priority, untilMs);
+    if (!isWoken || job.isOver()) return undefined;
+  }
+}
+
+function searchChain(host: GatewayHost, job: Job, tokens: number): readonly Stage[] | undefined {
+  const { board } = host;
+  const { name, model } = job.profile;
+  if (model === undefined) {
+    const [server] = [...board.usable(name)].sort(
+      (one, other) => board.running(one.id) / one.slots - board.running(other.id) / other.slots,
+    );
+    if (server === undefined) return undefined;
+    return [{ id: server.id, address: server.address, layers: { from: 0, to: 0 } }];
+  }
+  return findChain({
+    engines: board.chainEngines(name, model),
+    layers: { from: 0, to: model.layers },
+    tokens,
+    fromDomain: host.failureDomain,
+    domainDelayMs: model.domainDelayMs,
+    excluded: new Set(),
+    isEntry: true,
+  });
+}
+
+/** Spares the engine that the chain named, or asks the first one where none was named. */
+function noteRefusal(host: GatewayHost, fault: string | undefined, entry: string): void {
+  const blamed = host.board.findByAddress(fault ?? '')?.id ?? entry;
+  host.board.rest(blamed, REST_MS);
+  void host.probes.ask(blamed);
+}
+
+function logAttempt(
+  host: GatewayHost,
+  job: Job,
+  stages: readonly Stage[],
+  end: AttemptEnd,
+  progress: StreamProgress,
+): void {
+  host.count('stream_attempts', end.type);
+  host.log('stream attempt', {
+    id: job.head.id,
+    end: end.type,
+    detail: 'detail' in end ? end.detail : undefined,
+    fault: end.type === 'not-run' ? end.fault : undefined,
+    entry: stages[0]?.id,
+    stages: stages.length,
+    events: progress.events,
+    lastEventId: progress.lastEventId,
+    tookMs: Math.round(host.now() - job.arrivedMs),
+  });
+}
+
+function finish(
+  host: GatewayHost,
+  job: Job,
+  end: AttemptEnd | undefined,
+  mayHaveRun: boolean,
+): void {
+  const { response } = job;
+  if (end?.type === 'answered' && !response.headersSent) {
+    response.writeHead(end.reply.status, {
+      ...end.reply.headers,
+      'content-length': end.reply.body.length,
+    });
+    response.end(end.reply.body);
+    return;
+  }
+  const reason = mayHaveRun ? 'unknown-outcome' : 'not-run';
+  const baseMs = end === undefined ? retryAfter(host, job) : FULL_RETRY_MS;
+  host.count('refusals', reason);
+  host.log('stream given up', { id: job.head.id, reason, cause: end?.type ?? 'no chain' });
+  refuseJob(response, reason, host.protocol, {
+    retryAfterMs: mayHaveRun ? undefined : baseMs * (0.5 + host.random()),
+  });
+}
+
+/** Longer where no chain covers the model: engines have to load layers first. */
+function retryAfter(host: GatewayHost, job: Job): number {
+  const empty = searchChain(host, job, 0);
+  return empty === undefined ? NO_CHAIN_RETRY_MS : FULL_RETRY_MS;
+}
--- /dev/null
+++ b/src/catalog/matchRoute.ts
@@ -0,0 +1,16 @@
+/** Finds the rule for a request. */
+
+import type { Catalog, RouteRule } from './catalog';
+
+/**
+ * @param catalog the catalog in force
+ * @param host the request's host, a port is ignored
+ * @param path the request's path, a query is ignored
+ * @returns the rule with the longest prefix that begins the path, undefined where there is none
+ */
+export function matchRoute(catalog: Catalog, host: string, path: string): RouteRule | undefined {
+  const name = host.split(':', 1)[0] ?? '';
+  const query = path.indexOf('?');
+  const pathname = query < 0 ? path : path.slice(0, query);
+  return catalog.routes.get(name.toLowerCase())?.find(({ prefix }) => pathname.startsWith(prefix));
+}
--- /dev/null
+++ b/src/catalog/pickService.ts
@@ -0,0 +1,26 @@
+/** Picks the service of a request where a route splits its traffic. */
+
+import { hash32 } from '../hashing/hash32';
+import type { RouteRule } from './catalog';
+
+/** Values of the hash, 2^32. */
+const HASHES = 0x1_0000_0000;
+
+/**
+ * The same request goes to the same service on every VM.
+ *
+ * @param rule the request's route
+ * @param requestId the request's id
+ * @returns the service's name, undefined where the route has no share with a weight
+ */
+export function pickService(rule: RouteRule, requestId: string): string | undefined {
+  const [only] = rule.shares;
+  if (rule.shares.length === 1) return only?.service;
+  const total = rule.shares.reduce((sum, { weight }) => sum + weight, 0);
+  let point = (hash32(requestId) / HASHES) * total;
+  for (const { service, weight } of rule.shares) {
+    point -= weight;
+    if (point < 0) return service;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/gateway/splitEvents.ts
@@ -0,0 +1,37 @@
+/**
+ * Cuts the bytes of an event stream into whole events, so that a caller never gets part of one. The
+ * bytes stay as the backend server wrote them; only the id is read.
+ */
+
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  /** Undefined where the event has no `id` line, such as a comment. */
+  readonly id: string | undefined;
+}
+
+export interface SplitResult {
+  readonly events: readonly StreamEvent[];
+  /** Start of an event whose end has not come yet. */
+  readonly rest: Buffer;
+}
+
+const EVENT_END = '\n\n';
+const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
+
+/**
+ * @param pending bytes left over from the last call
+ * @param chunk the next bytes
+ */
+export function splitEvents(pending: Buffer, chunk: Buffer): SplitResult {
+  const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+  const events: StreamEvent[] = [];
+  let from = 0;
+  for (;;) {
+    const end = bytes.indexOf(EVENT_END, from);
+    if (end < 0) return { events, rest: bytes.subarray(from) };
+    const to = end + EVENT_END.length;
+    const event = bytes.subarray(from, to);
+    events.push({ bytes: event, id: ID_LINE.exec(event.toString('latin1'))?.[1] });
+    from = to;
+  }
+}
--- /dev/null
+++ b/src/node/openSideListeners.ts
@@ -0,0 +1,50 @@
+/** The listeners beside the callers' own: readiness, the directory of VMs, and metrics. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { GatewayMetrics } from './createGatewayMetrics';
+import type { GatewayPlatform } from './gatewayPlatform';
+import type { GatewaySettings } from './gatewaySettings';
+import { listen } from './listen';
+
+export interface SideListenerOptions {
+  readonly listen: GatewaySettings['listen'];
+  readonly platform: GatewayPlatform;
+  readonly metrics: GatewayMetrics;
+  readonly isReady: () => boolean;
+  readonly addressesFor: (failureDomain: string | undefined) => readonly string[];
+  /** Validity of an address answer, milliseconds. */
+  readonly validMs: number;
+}
+
+/** Opens one listener for each distinct address; all answer the same paths. */
+export function openSideListeners(options: SideListenerOptions): readonly Server[] {
+  const { platform, metrics, isReady, addressesFor, validMs } = options;
+  const { readiness, directory, metrics: metricsAddress } = options.listen;
+  const serve = (request: IncomingMessage, response: ServerResponse): void => {
+    const path = request.url ?? '/';
+    const query = platform.readAddressQuery(path);
+    if (query !== undefined) {
+      const addresses = addressesFor(query.failureDomain);
+      const isKnown = addresses.length > 0;
+      response.writeHead(isKnown ? 200 : 503, { 'content-type': 'application/json' });
+      response.end(isKnown ? platform.encodeAddresses(addresses, validMs) : '{}');
+    } else if (platform.isReadinessPath(path)) {
+      response.writeHead(isReady() ? 200 : 503);
+      response.end();
+    } else if (path.startsWith('/metrics')) {
+      void metrics.text().then((text) => {
+        response.writeHead(200, { 'content-type': metrics.contentType });
+        response.end(text);
+      });
+    } else {
+      response.writeHead(404);
+      response.end();
+    }
+  };
+  return [...new Set([readiness, directory, metricsAddress])].map((address) => {
+    const server = createServer(serve);
+    listen(server, address);
+    return server;
+  });
+}
--- /dev/null
+++ b/src/node/parsePeerRecord.ts
@@ -0,0 +1,23 @@
+/** Reads the record that a VM wrote about itself. */
+
+import { z } from 'zod';
+import type { PeerRecord } from '../peers/peer';
+
+const schema = z.object({
+  vm: z.string(),
+  incarnation: z.string(),
+  callerAddress: z.string(),
+  peerAddress: z.string(),
+  failureDomain: z.string(),
+});
+
+/** @returns undefined where the text is no record */
+export function parsePeerRecord(text: string | undefined): PeerRecord | undefined {
+  if (text === undefined) return undefined;
+  try {
+    return schema.safeParse(JSON.parse(text)).data;
+  } catch {
+    // The row was written by something else; it names no VM.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/node/startGateway.ts
@@ -0,0 +1,280 @@
+/**
+ * Starts a gateway: one process on a VM that takes callers' requests, tells callers which VMs to use,
+ * and places layers while it is the executor. Everything it knows comes from the store, its peers and
+ * the backend servers.
+ */
+
+import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { createExecutorSeat } from '../adapters/gateway/createExecutorSeat';
+import { createEventLog } from '../adapters/gateway/createEventLog';
+import { createGateway } from '../adapters/gateway/createGateway';
+import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
+import { createPlacer } from '../adapters/gateway/createPlacer';
+import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
+import { followServers } from '../adapters/gateway/followServers';
+import { followTable } from '../adapters/gateway/followTable';
+import type { Catalog } from '../catalog/catalog';
+import type { ClockReading } from '../catalog/confirmation';
+import { elapsedMs } from '../catalog/confirmation';
+import { createServerBoard } from '../gateway/createServerBoard';
+import { createServerProbes } from '../gateway/createServerProbes';
+import { createStoreHealth } from '../gateway/createStoreHealth';
+import { createServiceBudgets } from '../gateway/createServiceBudgets';
+import type { GatewayHost, LogFields } from '../gateway/job';
+import { chooseAddresses } from '../peers/listLivePeers';
+import type { PeerRecord } from '../peers/peer';
+import { createGatewayMetrics } from './createGatewayMetrics';
+import type { GatewayPlatform } from './gatewayPlatform';
+import { listen } from './listen';
+import { openSideListeners } from './openSideListeners';
+import { parsePeerRecord } from './parsePeerRecord';
+import type { GatewaySettings } from './gatewaySettings';
+
+export interface GatewayDaemon {
+  /** Stops taking requests, ends what runs, and resolves when the process may exit. */
+  readonly drain: () => Promise<void>;
+  readonly reload: (settings: GatewaySettings) => void;
+}
+
+/** Longest waits for changes, milliseconds. */
+const CATALOG_WAIT_MS = 1_500;
+const OWN_WAIT_MS = 8_000;
+
+/** Pauses after changes, milliseconds: changes come in bursts. */
+const CATALOG_SETTLE_MS = 60;
+const OWN_SETTLE_MS = 60;
+
+/** Part of the time in which a credential must be gone that may pass without confirmation. */
+const CONFIRMED_SHARE = 0.85;
+
+/** Validity of an address answer, milliseconds: how long a VM that stops still gets new callers. */
+const ADDRESS_VALID_MS = 1_000;
+
+/** Most addresses in an answer. */
+const MAX_ADDRESSES = 64;
+
+/** Idle time of a caller's connection before the catalog says another, milliseconds. */
+const DEFAULT_IDLE_MS = 15_000;
+
+/** Time between looks at the placement and at suspected servers, milliseconds. */
+const DUTY_INTERVAL_MS = 250;
+
+/** From the request to stop until new requests are refused: three validities, as callers may keep. */
+const CLOSING_AFTER_MS = 3 * ADDRESS_VALID_MS;
+
+/** Part of the grace left unused before the process would be killed, milliseconds. */
+const GRACE_MARGIN_MS = 300;
+
+const EXECUTOR_KEY = 'executor';
+const PEER_PREFIX = 'vm/';
+const MS_PER_SECOND = 1_000;
+
+/** Starts to listen and to follow the store. */
+export function startGateway(initial: GatewaySettings, platform: GatewayPlatform): GatewayDaemon {
+  let settings = initial;
+  const { store, protocol } = platform;
+  const now = (): number => performance.now();
+  const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
+  const log = createEventLog({
+    vm: settings.vm.name,
+    output: (line) => process.stdout.write(`${line}\n`),
+    now,
+  });
+  const write = (message: string, fields: LogFields): void => {
+    log.write(message, fields);
+  };
+  const metrics = createGatewayMetrics();
+  metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
+  const board = createServerBoard({ now, onBelief: write });
+  const probes = createServerProbes({ board, protocol, now });
+  const self: PeerRecord = {
+    vm: settings.vm.name,
+    incarnation: randomUUID(),
+    callerAddress: settings.listen.callers,
+    peerAddress: settings.listen.peers,
+    failureDomain: settings.vm.failure_domain,
+  };
+  write('started', { incarnation: self.incarnation, pid: process.pid });
+
+  let catalog: Catalog | undefined;
+  let confirmedAt: ClockReading | undefined;
+  let stoppingMs: number | undefined;
+  const isConfirmed = (): boolean =>
+    confirmedAt !== undefined &&
+    elapsedMs(confirmedAt, clock()) < settings.credentials.revoke_ms * CONFIRMED_SHARE;
+  const isAccepting = (): boolean =>
+    stoppingMs === undefined && catalog !== undefined && isConfirmed();
+  const isClosing = (): boolean =>
+    stoppingMs !== undefined && now() - stoppingMs > CLOSING_AFTER_MS;
+
+  const peers = createPeerGroup({
+    self,
+    board,
+    isAccepting,
+    onLost: (id, bornMs) => {
+      // A peer's word is checked before it is believed: the peer itself may be cut off.
+      const server = board.find(id);
+      const isKnown = board.suspicions().some((suspicion) => suspicion.id === id);
+      if (server?.bornMs === bornMs && !isKnown) void probes.ask(id);
+    },
+    now,
+    log: write,
+  });
+  const host: GatewayHost = {
+    protocol,
+    board,
+    budgets: createServiceBudgets({
+      limits: {
+        ratio: settings.retries.ratio,
+        extra: settings.retries.extra,
+        windowMs: settings.retries.window_s * MS_PER_SECOND,
+      },
+      now,
+      vms: () => peers.size(),
+    }),
+    probes,
+    watch: createStreamWatch(board),
+    failureDomain: self.failureDomain,
+    now,
+    random: Math.random,
+    log: write,
+    count: metrics.count,
+    observe: metrics.observe,
+  };
+  const gateway = createGateway({
+    host,
+    catalog: () => catalog,
+    isConfirmed,
+    isClosing,
+    isDraining: () => stoppingMs !== undefined,
+  });
+  const placer = createPlacer({ board, protocol, catalog: () => catalog, now, log: write });
+  const seat = createExecutorSeat({
+    store,
+    table: platform.ownTable,
+    key: EXECUTOR_KEY,
+    self,
+    log: write,
+  });
+
+  const health = createStoreHealth(now, write);
+  const common = { store, now, random: Math.random };
+  followTable({
+    ...common,
+    table: platform.catalogTable,
+    waitMs: CATALOG_WAIT_MS,
+    settleMs: CATALOG_SETTLE_MS,
+    onRows: (rows) => {
+      const next = platform.decodeCatalog(rows);
+      if (next === undefined || (catalog !== undefined && next.version < catalog.version)) return;
+      catalog = next;
+      applyLimits(callers, next);
+      write('catalog in force', { version: next.version, routes: next.routes.size });
+    },
+    onContact: (sentMs) => {
+      const reading = clock();
+      const agoMs = reading.monotonicMs - sentMs;
+      confirmedAt = { monotonicMs: sentMs, wallMs: reading.wallMs - agoMs };
+      health.succeeded();
+    },
+    onTrouble: health.failed,
+  });
+
+  followServers({
+    ...common,
+    table: platform.serverTable,
+    decodeServer: platform.decodeServer,
+    board,
+    health,
+    log: write,
+  });
+  let isRegistered = false;
+  followTable({
+    ...common,
+    table: platform.ownTable,
+    waitMs: OWN_WAIT_MS,
+    settleMs: OWN_SETTLE_MS,
+    onRows: (rows) => {
+      const records = [...rows.values()].flatMap((row) =>
+        row.key.startsWith(PEER_PREFIX) ? (parsePeerRecord(row.value) ?? []) : [],
+      );
+      isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
+      peers.learnRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
+      seat.learnRow(rows.get(EXECUTOR_KEY));
+    },
+    onContact: health.succeeded,
+    onTrouble: health.failed,
+  });
+  const register = async (): Promise<void> => {
+    const value = JSON.stringify(self);
+    const result = await store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value }]);
+    isRegistered = result.type === 'committed';
+    if (!isRegistered) write('registration failed', { result: result.type });
+  };
+  void register();
+
+  let dutyCount = 0;
+  const duty = setInterval(() => {
+    dutyCount += 1;
+    if (board.suspicions().length > 0) probes.recheck();
+    if (stoppingMs !== undefined) return;
+    if (!isRegistered && dutyCount % 8 === 0) void register();
+    if (seat.tick(peers.live()) && health.isFresh()) {
+      placer.tick();
+      if (dutyCount % 40 === 0) void removeDeparted();
+    }
+  }, DUTY_INTERVAL_MS);
+  const removeDeparted = async (): Promise<void> => {
+    for (const { vm } of peers.departed()) {
+      const result = await store.write(platform.ownTable, [
+        { key: PEER_PREFIX + vm, value: undefined },
+      ]);
+      write('departed VM removed', { peer: vm, result: result.type });
+    }
+  };
+
+  const callers = createServer({ keepAliveTimeout: DEFAULT_IDLE_MS }, gateway.handle);
+  listen(callers, settings.listen.callers);
+  const others = openSideListeners({
+    listen: settings.listen,
+    platform,
+    metrics,
+    isReady: isAccepting,
+    addressesFor: (failureDomain) => chooseAddresses(peers.live(), failureDomain, MAX_ADDRESSES),
+    validMs: Math.min(ADDRESS_VALID_MS, settings.directory.max_validity_s * MS_PER_SECOND),
+  });
+
+  return {
+    reload: (next) => {
+      settings = next;
+      write('settings reloaded', {});
+    },
+    drain: async () => {
+      stoppingMs = now();
+      write('stopping', { active: gateway.active() });
+      peers.announce();
+      const released = Promise.all([
+        seat.giveUp(),
+        store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value: undefined }]),
+      ]);
+      const endMs = stoppingMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
+      const isDone = (): boolean => isClosing() && gateway.active() === 0;
+      while (!isDone() && now() < endMs) {
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        callers.closeIdleConnections();
+      }
+      clearInterval(duty);
+      peers.close();
+      for (const server of [callers, ...others]) server.close();
+      await Promise.race([released, new Promise((resolve) => setTimeout(resolve, 100))]);
+      write('stopped', { active: gateway.active() });
+    },
+  };
+}
+
+function applyLimits(server: Server, { limits }: Catalog): void {
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+  server.headersTimeout = limits.headerTimeoutMs;
+}
