Price crossings between failure domains, and never take a reset reply as whole

Cause 1: paths changed domain freely; the activations of 43 prompts a second, 34 MB each, filled the 13 Gbit/s pipes, first events came after seconds and runs that were given up were read again. Ruled out: too few places or memory (engines' reports: nothing queued, 0.4 to 0.8 of memory taken), reading speed (under half used by the cost formulas). Cause 2: Node's parser ends a reply without a length when its connection is reset.

--- a/src/adapters/gateway/createExecutorSeat.ts
+++ b/src/adapters/gateway/createExecutorSeat.ts
@@ -44,7 +44,7 @@
     learnRow: (stored) => {
       const next = parseRow(stored);
       if (next !== undefined && row !== undefined && next.version < row.version) return;
-      if (next?.incarnation !== row?.incarnation) log('executor is', { vm: next?.vm });
+      if (next?.incarnation !== row?.incarnation) log('executor is', { holder: next?.vm });
       row = next;
     },
     giveUp: async () => {
--- /dev/null
+++ b/src/adapters/gateway/openExchange.test.ts
@@ -0,0 +1,69 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import type { IncomingMessage } from 'node:http';
+import { openExchange } from './openExchange';
+import { readReplyBody } from './readReplyBody';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+
+let server: Server;
+
+const listen = (onConnection: (socket: Socket) => void): Promise<string> =>
+  new Promise((resolve) => {
+    server = createServer(onConnection);
+    server.listen(0, '127.0.0.1', () => {
+      resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    });
+  });
+
+const exchange = (address: string): Promise<IncomingMessage> =>
+  new Promise((resolve, reject) => {
+    openExchange(
+      { address, method: 'GET', path: '/', headers: {}, body: undefined },
+      {
+        onReply: resolve,
+        onFailure: ({ isSent, detail }) => {
+          reject(new Error(`${isSent ? 'sent' : 'unsent'}: ${detail}`));
+        },
+      },
+    );
+  });
+
+describe('openExchange', () => {
+  afterEach(() => {
+    server.close();
+  });
+
+  it('takes a reply without a length as whole when its connection closes', async () => {
+    const address = await listen((socket) => {
+      socket.once('data', () => socket.end(`${HEAD}whole`));
+    });
+    const body = await readReplyBody(await exchange(address));
+    expect(body).toEqual({ type: 'whole', body: Buffer.from('whole') });
+  });
+
+  it('never takes a reply without a length as whole after a reset', async () => {
+    const address = await listen((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(`${HEAD}par`, () => socket.resetAndDestroy());
+      });
+    });
+    const reply = await exchange(address);
+    expect((await readReplyBody(reply)).type).toBe('broken');
+  });
+
+  it('knows that nothing was sent where no connection was made', async () => {
+    const address = await listen(() => undefined);
+    await new Promise((resolve) => server.close(resolve));
+    await expect(exchange(address)).rejects.toThrow('unsent');
+  });
+
+  it('cannot know whether a request ran after a reset without a reply', async () => {
+    const address = await listen((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => socket.resetAndDestroy());
+    });
+    await expect(exchange(address)).rejects.toThrow(/^sent/);
+  });
+});
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -61,10 +61,14 @@
       clearTimeout(timer);
     });
   });
+  let received: IncomingMessage | undefined;
   outgoing.on('error', (error) => {
+    // A reply without a length ends with its connection; after a reset it must not look complete.
+    received?.destroy(error);
     fail(error.message);
   });
   outgoing.on('response', (reply) => {
+    received = reply;
     if (isOver) {
       reply.destroy();
       return;
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -5,6 +5,7 @@
 
 import type { IncomingMessage } from 'node:http';
 import type { PipelineModel } from '../../chains/pipelineModel';
+import { crossingCost } from '../../chains/crossingCost';
 import { replaceStages } from '../../chains/replaceStages';
 import type { Stage } from '../../chains/layerEngine';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -90,6 +91,7 @@
       progress = noteEvent(progress, id, nowMs);
     }
     hasOwnEvents = true;
+    board.noteEvent(entry.id);
     options.onProgress(progress);
     job.response.write(Buffer.concat(fresh.map(({ bytes }) => bytes)));
   };
@@ -159,7 +161,11 @@
       tokens,
       fromDomain: host.failureDomain,
       domainDelayMs: model.domainDelayMs,
+      crossingMs: crossingCost(model, board.crossingShare(model)),
       excluded: new Set(),
+      domains: new Map(
+        stages.map(({ id }) => [id, board.find(id)?.failureDomain ?? host.failureDomain]),
+      ),
     });
     host.log('chain repair', {
       id: job.head.id,
@@ -220,6 +226,7 @@
         meanGapMs: progress.meanGapMs,
         targetMs: job.rule.targetMs,
         targetGapMs: job.rule.targetGapMs,
+        othersSilentMs: nowMs - board.lastEventMs(entry.id),
         sinceProbeMs: nowMs - probedMs,
       });
       if (verdict === 'probe') void probe();
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -3,6 +3,7 @@
  * has, so that the caller sees one stream with every event once.
  */
 
+import { crossingCost } from '../../chains/crossingCost';
 import { findChain } from '../../chains/findChain';
 import type { Stage } from '../../chains/layerEngine';
 import type { WaitingRoom } from './createWaitingRoom';
@@ -119,6 +120,7 @@
     tokens,
     fromDomain: host.failureDomain,
     domainDelayMs: model.domainDelayMs,
+    crossingMs: crossingCost(model, board.crossingShare(model)),
     excluded: new Set(),
     isEntry: true,
   });
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -4,8 +4,10 @@
  * that overlap or were cut differently still join, which lets the rest of a chain serve on when one
  * of its engines is lost.
  *
- * The cost of a part is its time for a decoding step, raised by how full the engine is; between
- * failure domains the link's delay is added. An engine without room for the request is left out.
+ * The cost of a part is its time for a decoding step, raised by how full the engine is. Between two
+ * engines of different failure domains the activations of every token cross a link that all requests
+ * share, so a crossing is dear; entering the path in another domain only adds the link's delay. An
+ * engine without room for the request is left out.
  */
 
 import type { LayerRange } from '../engines/engine';
@@ -17,10 +19,12 @@
   readonly layers: LayerRange;
   /** Tokens that the request is expected to hold at its end. */
   readonly tokens: number;
-  /** Where the path starts; a first stage elsewhere costs one delay. */
+  /** Where the path starts: the domain of this VM, or of the stage before. */
   readonly fromDomain: string;
   /** Delay between failure domains, milliseconds. */
   readonly domainDelayMs: number;
+  /** Cost of passing activations to another failure domain, milliseconds of a step. */
+  readonly crossingMs: number;
   /** Engines that must not be used. */
   readonly excluded: ReadonlySet<string>;
   /** False where the path only replaces a part in the middle and so takes no entry slot. */
@@ -99,7 +103,9 @@
   const end = Math.min(engine.layers.to, search.layers.to);
   for (const [domain, state] of states) {
     if (state.stages >= maxStages || visits(state, engine.id)) continue;
-    const delayMs = domain === engine.failureDomain ? 0 : search.domainDelayMs;
+    const isEntering = search.isEntry && state.engine === undefined;
+    const elsewhereMs = isEntering ? search.domainDelayMs : search.crossingMs;
+    const delayMs = domain === engine.failureDomain ? 0 : elsewhereMs;
     for (const to of cuts) {
       if (to <= position) continue;
       if (to > end) break;
--- a/src/chains/pipelineModel.ts
+++ b/src/chains/pipelineModel.ts
@@ -37,5 +37,9 @@
   readonly parallelLoads: number;
   /** One-way delay between two failure domains, milliseconds. */
   readonly domainDelayMs: number;
+  /** Activations of one token between two engines, bytes. */
+  readonly activationBytes: number;
+  /** Bandwidth between two failure domains, which all requests share, bytes in a millisecond. */
+  readonly domainBytesPerMs: number;
   readonly kinds: ReadonlyMap<string, EngineKind>;
 }
--- a/src/chains/planLayers.ts
+++ b/src/chains/planLayers.ts
@@ -30,7 +30,7 @@
 const RESERVED_REQUESTS = 64;
 
 /** Weight of the own failure domain's shortage against the shortage of all. */
-const DOMAIN_WEIGHT = 0.5;
+const DOMAIN_WEIGHT = 2;
 
 /** Tokens added to a layer's room before it is inverted, so that an uncovered layer weighs most. */
 const SHORTAGE_OFFSET = 2_000;
@@ -92,7 +92,40 @@
   }
   const used = new Set(orders.map(({ id }) => id));
   const left = engines.filter(({ id }) => !used.has(id));
-  return [...orders, ...tile(model, left)];
+  return [...orders, ...tileAcross(model, left)];
+}
+
+/** Closes chains over several domains, each domain's engines side by side: a crossing is dear. */
+function tileAcross(
+  model: PipelineModel,
+  engines: readonly PlacementCandidate[],
+): readonly LayerOrder[] {
+  const orders: LayerOrder[] = [];
+  let left = [...engines]
+    .filter(({ isFree, kind }) => isFree && layerRoom(model, kind) > 0)
+    .sort((one, other) => (one.failureDomain < other.failureDomain ? -1 : 1));
+  for (;;) {
+    const chain = closeInOrder(model, left);
+    if (chain === undefined) return orders;
+    orders.push(...chain);
+    const used = new Set(chain.map(({ id }) => id));
+    left = left.filter(({ id }) => !used.has(id));
+  }
+}
+
+function closeInOrder(
+  model: PipelineModel,
+  engines: readonly PlacementCandidate[],
+): readonly LayerOrder[] | undefined {
+  const orders: LayerOrder[] = [];
+  let from = 0;
+  for (const { id, kind } of engines) {
+    const to = Math.min(model.layers, from + layerRoom(model, kind));
+    orders.push({ id, layers: { from, to } });
+    if (to === model.layers) return orders;
+    from = to;
+  }
+  return undefined;
 }
 
 /** Lays engines end to end until no further chain can be closed. */
--- a/src/chains/replaceStages.ts
+++ b/src/chains/replaceStages.ts
@@ -8,6 +8,8 @@
   readonly stages: readonly Stage[];
   /** Ids of the engines to leave out; the first stage cannot be among them. */
   readonly lost: ReadonlySet<string>;
+  /** Failure domains by engine id. */
+  readonly domains: ReadonlyMap<string, string>;
 }
 
 /**
@@ -34,7 +36,9 @@
     while (lost.has(stages[end + 1]?.id ?? '')) end += 1;
     const to = stages[end]?.layers.to ?? stage.layers.to;
     const layers = { from: stage.layers.from, to };
-    const found = findChain({ ...replacement, layers, excluded, isEntry: false });
+    const before = path.at(-1)?.id;
+    const fromDomain = replacement.domains.get(before ?? '') ?? replacement.fromDomain;
+    const found = findChain({ ...replacement, fromDomain, layers, excluded, isEntry: false });
     if (found === undefined) return undefined;
     for (const { id } of found) excluded.add(id);
     path.push(...found);
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -59,6 +59,11 @@
   /** Orders accepted by this incarnation. */
   readonly orders: number;
   readonly isBusy: boolean;
+  /** Requests that wait to be run, and that are run. */
+  readonly queued: number;
+  readonly running: number;
+  /** Part of the memory for requests that is taken, 0 to 1. */
+  readonly memoryShare: number;
   readonly layers: LayerRange | undefined;
   /** Step time against what its kind should take. */
   readonly pace: number;
--- a/src/gateway/createServerBoard.ts
+++ b/src/gateway/createServerBoard.ts
@@ -4,6 +4,7 @@
  */
 
 import type { PipelineModel } from '../chains/pipelineModel';
+import { createRateMeter } from './createRateMeter';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
 
 /** Work of one VM on one backend server. */
@@ -42,7 +43,13 @@
   /** Gives a server nothing new for a while, without calling it lost. */
   readonly rest: (id: string, forMs: number) => void;
   readonly notePace: (id: string, pace: number) => void;
+  /** Notes that a stream which entered at this engine had an event. */
+  readonly noteEvent: (id: string) => void;
+  /** When a stream that entered there last had an event, monotonic, milliseconds. */
+  readonly lastEventMs: (id: string) => number;
   readonly reserve: (stages: readonly Stage[], tokens: number) => Reservation;
+  /** Part of the links between failure domains in use by activations, over all VMs. */
+  readonly crossingShare: (model: PipelineModel) => number;
   readonly ownLoads: () => ServerLoads;
   readonly learnLoads: (vm: string, loads: ServerLoads) => void;
   readonly running: (id: string) => number;
@@ -71,6 +78,9 @@
 /** Step time assumed for an engine whose kind is not known, against the reference kind. */
 const UNKNOWN_STEP_FACTOR = 16;
 
+/** Time over which the use of the links between failure domains is measured, milliseconds. */
+const CROSSING_WINDOW_MS = 1_000;
+
 const NO_LOAD: ServerLoad = { reserved: 0, running: 0 };
 
 /** Creates an empty board. */
@@ -81,12 +91,20 @@
   const suspected = new Map<string, ServerSuspicion>();
   const restingUntil = new Map<string, number>();
   const paces = new Map<string, { readonly pace: number; readonly atMs: number }>();
+  const eventsMs = new Map<string, number>();
   const own = new Map<string, ServerLoad>();
   const others = new Map<string, { readonly loads: ServerLoads; readonly atMs: number }>();
   const changeListeners: (() => void)[] = [];
   const lostListeners: ((id: string) => void)[] = [];
   const leavingListeners: ((id: string) => void)[] = [];
 
+  const crossings = createRateMeter(CROSSING_WINDOW_MS);
+  const countCrossings = (stages: readonly Stage[]): number =>
+    stages.filter((stage, index) => {
+      const before = listed.get(stages[index - 1]?.id ?? '')?.failureDomain;
+      return before !== undefined && before !== listed.get(stage.id)?.failureDomain;
+    }).length;
+
   const notifyChange = (): void => {
     for (const listener of changeListeners) listener();
   };
@@ -148,6 +166,7 @@
       }
       for (const id of restingUntil.keys()) if (!next.has(id)) restingUntil.delete(id);
       for (const id of paces.keys()) if (!next.has(id)) paces.delete(id);
+      for (const id of eventsMs.keys()) if (!next.has(id)) eventsMs.delete(id);
       listed = next;
       byAddress = new Map(servers.map((server) => [server.address, server]));
       for (const id of leaving) for (const listener of leavingListeners) listener(id);
@@ -182,7 +201,16 @@
     notePace: (id, pace) => {
       paces.set(id, { pace, atMs: now() });
     },
+    noteEvent: (id) => {
+      eventsMs.set(id, now());
+    },
+    lastEventMs: (id) => eventsMs.get(id) ?? Number.NEGATIVE_INFINITY,
+    crossingShare: (model) => {
+      const bytesPerMs = (crossings.perMs(now()) * model.activationBytes) / model.domainBytesPerMs;
+      return bytesPerMs * (1 + others.size);
+    },
     reserve: (stages, tokens) => {
+      crossings.add(countCrossings(stages) * tokens, now());
       const parts = stages.map(({ id, layers }) => ({
         id,
         amount: (layers.to - layers.from) * tokens,
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -4,6 +4,7 @@
  */
 
 import type { BackendProtocol, ReportResult } from './backendProtocol';
+import type { LogFields } from './job';
 import type { ServerBoard } from './createServerBoard';
 
 export interface ServerProbes {
@@ -18,6 +19,7 @@
   readonly protocol: BackendProtocol;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
+  readonly log: (message: string, fields: LogFields) => void;
 }
 
 /** Time for which one answer serves all who ask, milliseconds; reports lag by more. */
@@ -25,7 +27,7 @@
 
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
-  const { board, protocol, now } = options;
+  const { board, protocol, now, log } = options;
   const asked = new Map<
     string,
     { readonly atMs: number; readonly result: Promise<ReportResult> }
@@ -35,7 +37,9 @@
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
     const result = await protocol.fetchReport(server.address);
     if (result.type === 'report') {
-      board.notePace(id, result.report.pace);
+      const { pace, queued, running, memoryShare } = result.report;
+      board.notePace(id, pace);
+      log('engine reports', { server: id, pace, queued, running, memoryShare });
       const isSame = server.bornMs === 0 || result.report.bornMs === server.bornMs;
       if (isSame) board.clear(id);
       else board.suspect(id, 'restarted');
--- a/src/gateway/judgeSilence.ts
+++ b/src/gateway/judgeSilence.ts
@@ -1,7 +1,8 @@
 /**
  * Decides what to do about a stream that has been silent for a while. A crashed engine is found by
- * asking the engines of the path as soon as the silence stands out; giving the run up is the last
- * resort, since another run reads the whole request again.
+ * asking the engines of the path as soon as the silence stands out. A run is given up only where its
+ * connection must be dead, since other streams of the same engine go on: under overload every stream
+ * is silent, and runs that are given up have to be read again, which feeds the overload.
  */
 
 export interface Silence {
@@ -14,6 +15,8 @@
   readonly targetMs: number;
   /** Target for the pause between events, milliseconds. */
   readonly targetGapMs: number;
+  /** Since any stream through the same first engine had an event, milliseconds. */
+  readonly othersSilentMs: number;
   /** Since the engines were last asked, milliseconds. */
   readonly sinceProbeMs: number;
 }
@@ -38,7 +41,8 @@
 /** @returns what to do now */
 export function judgeSilence(silence: Silence): SilenceVerdict {
   const { silentMs, hasEvents, meanGapMs, targetMs, targetGapMs, sinceProbeMs } = silence;
-  if (silentMs >= targetMs * GIVE_UP_TARGETS) return 'give-up';
+  const isAlone = hasEvents && silence.othersSilentMs < targetGapMs;
+  if (isAlone && silentMs >= targetMs * GIVE_UP_TARGETS) return 'give-up';
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -88,7 +88,7 @@
   const metrics = createGatewayMetrics();
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
   const board = createServerBoard({ now, onBelief: write });
-  const probes = createServerProbes({ board, protocol, now });
+  const probes = createServerProbes({ board, protocol, now, log: write });
   const self: PeerRecord = {
     vm: settings.vm.name,
     incarnation: randomUUID(),
