Reset the test's connection after its first bytes were read

The test reset the connection in the write's callback, which the kernel delivered as an orderly end; it now resets once the client has read, fails on the code before the mend and passes after it.

--- a/src/adapters/gateway/openExchange.test.ts
+++ b/src/adapters/gateway/openExchange.test.ts
@@ -43,14 +43,17 @@
   });
 
   it('never takes a reply without a length as whole after a reset', async () => {
+    let peer: Socket | undefined;
     const address = await listen((socket) => {
+      peer = socket;
       socket.on('error', () => undefined);
-      socket.once('data', () => {
-        socket.write(`${HEAD}par`, () => socket.resetAndDestroy());
-      });
+      socket.once('data', () => socket.write(`${HEAD}par`));
     });
     const reply = await exchange(address);
-    expect((await readReplyBody(reply)).type).toBe('broken');
+    const body = readReplyBody(reply);
+    await new Promise((resolve) => reply.once('data', resolve));
+    peer?.resetAndDestroy();
+    expect((await body).type).toBe('broken');
   });
 
   it('knows that nothing was sent where no connection was made', async () => {
