--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -2,7 +2,7 @@
 const { join } = require('node:path');
 
 /** Folders with tests; some come only with the first test in them. */
-const folders = ['src', 'standins', 'measurements', 'golden', 'ci', 'demo'];
+const folders = ['src', 'standins', 'measurements', 'golden', 'ci', 'demo', 'platform'];
 
 /** Jest runs the TypeScript sources through swc; types are checked apart, by `npm run types`. */
 module.exports = {
--- /dev/null
+++ b/src/chains/crossingCost.test.ts
@@ -0,0 +1,12 @@
+import { crossingCost } from './crossingCost';
+import { testModel } from './testModel';
+
+describe('crossingCost', () => {
+  it('costs a few times the plain delay over an idle link', () => {
+    expect(crossingCost(testModel, 0)).toBeCloseTo(2.22, 1);
+  });
+
+  it('outweighs a nearly full chain once the link is half used', () => {
+    expect(crossingCost(testModel, 0.7)).toBeGreaterThan(30);
+  });
+});
--- /dev/null
+++ b/src/chains/planLayers.test.ts
@@ -0,0 +1,95 @@
+import type { PlacementCandidate } from './planLayers';
+import { planLayers } from './planLayers';
+import { testModel } from './testModel';
+
+const engines = (
+  failureDomain: string,
+  kinds: Readonly<Record<string, number>>,
+): readonly PlacementCandidate[] =>
+  Object.entries(kinds).flatMap(([kind, count]) =>
+    Array.from({ length: count }, (_, index) => ({
+      id: `${failureDomain}-${kind}-${index}`,
+      failureDomain,
+      kind,
+      layers: undefined,
+      isFree: true,
+    })),
+  );
+
+/** The engines of the smaller of the two deployments that the router was built for. */
+const site = [
+  ...engines('a', { a100s: 1, l4: 8, t4: 3 }),
+  ...engines('b', { a100s: 2, l4: 4, t4: 7 }),
+  ...engines('c', { h100: 1, a100s: 1, l4: 5, t4: 7 }),
+];
+
+const place = (candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] => {
+  const orders = new Map(planLayers(testModel, candidates).map(({ id, layers }) => [id, layers]));
+  return candidates.map((engine) => ({
+    ...engine,
+    layers: orders.get(engine.id) ?? engine.layers,
+  }));
+};
+
+/** Number of engines that hold each layer. */
+const holders = (placed: readonly PlacementCandidate[]): readonly number[] =>
+  Array.from(
+    { length: testModel.layers },
+    (_, layer) =>
+      placed.filter(
+        ({ layers }) => layers !== undefined && layers.from <= layer && layer < layers.to,
+      ).length,
+  );
+
+describe('planLayers', () => {
+  it('gives every engine a part and never more than its memory holds beside requests', () => {
+    for (const { kind, layers } of place(site)) {
+      const held = (layers?.to ?? 0) - (layers?.from ?? 0);
+      const memoryMb = testModel.kinds.get(kind)?.memoryMb ?? 0;
+      expect(held).toBeGreaterThan(0);
+      expect(held * testModel.layerMb).toBeLessThan(memoryMb * 0.8);
+    }
+  });
+
+  it('closes a chain within each failure domain', () => {
+    const placed = place(site);
+    for (const domain of ['a', 'b', 'c']) {
+      const own = placed.filter(({ failureDomain }) => failureDomain === domain);
+      expect(Math.min(...holders(own))).toBeGreaterThanOrEqual(1);
+    }
+  });
+
+  it('gives an engine that comes back empty the layers that were lost', () => {
+    const placed = place(site);
+    const lost = placed.find(({ kind }) => kind === 'a100s');
+    const back = placed.map((engine) =>
+      engine.id === lost?.id ? { ...engine, layers: undefined } : engine,
+    );
+    const [order, ...others] = planLayers(testModel, back);
+    expect(others).toEqual([]);
+    expect(order).toEqual({ id: lost?.id, layers: lost?.layers });
+  });
+
+  it('orders nothing where every engine holds layers', () => {
+    expect(planLayers(testModel, place(site))).toEqual([]);
+  });
+
+  it('turns a spare copy over to layers that nobody holds', () => {
+    const hold = (id: string, from: number, to: number): PlacementCandidate => ({
+      id,
+      failureDomain: 'a',
+      kind: 'h100',
+      layers: { from, to },
+      isFree: true,
+    });
+    const held = [hold('x', 0, 30), hold('y', 0, 30), hold('z', 60, 80)];
+    const [order] = planLayers(testModel, held);
+    expect(['x', 'y']).toContain(order?.id);
+    expect(order?.layers).toEqual({ from: 30, to: 60 });
+  });
+
+  it('leaves engines alone that are leaving or already have an order', () => {
+    const taken = site.map((engine) => ({ ...engine, isFree: false }));
+    expect(planLayers(testModel, taken)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/src/chains/replaceStages.test.ts
@@ -0,0 +1,64 @@
+import type { ChainEngine, Stage } from './layerEngine';
+import { replaceStages } from './replaceStages';
+
+const engine = (id: string, from: number, to: number): ChainEngine => ({
+  id,
+  address: `${id}:1`,
+  failureDomain: 'a',
+  layers: { from, to },
+  layerStepMs: 0.1,
+  capacity: 100_000,
+  reserved: 0,
+  entered: 0,
+  slots: 10,
+});
+
+const stage = (id: string, from: number, to: number): Stage => ({
+  id,
+  address: `${id}:1`,
+  layers: { from, to },
+});
+
+const stages = [stage('x', 0, 3), stage('y', 3, 6), stage('z', 6, 8)];
+
+const replace = (lost: readonly string[], engines: readonly ChainEngine[]): string | undefined =>
+  replaceStages({
+    stages,
+    lost: new Set(lost),
+    engines,
+    domains: new Map([
+      ['x', 'a'],
+      ['y', 'a'],
+      ['z', 'a'],
+    ]),
+    tokens: 100,
+    fromDomain: 'a',
+    domainDelayMs: 0.5,
+    crossingMs: 5,
+    excluded: new Set(),
+  })
+    ?.map(({ id, layers }) => `${id} ${layers.from}-${layers.to}`)
+    .join(', ');
+
+describe('replaceStages', () => {
+  it('replaces the lost engine alone', () => {
+    expect(replace(['y'], [engine('s', 0, 8)])).toBe('x 0-3, s 3-6, z 6-8');
+  });
+
+  it('joins several engines where none holds the whole part', () => {
+    const spares = [engine('s', 3, 5), engine('t', 5, 8)];
+    expect(replace(['y'], spares)).toBe('x 0-3, s 3-5, t 5-6, z 6-8');
+  });
+
+  it('replaces neighbours that are lost together by one path', () => {
+    expect(replace(['y', 'z'], [engine('s', 3, 8)])).toBe('x 0-3, s 3-8');
+  });
+
+  it('never names an engine twice', () => {
+    expect(replace(['y'], [engine('x', 0, 8), engine('z', 0, 8)])).toBeUndefined();
+  });
+
+  it('cannot replace the first engine, which holds the caller', () => {
+    expect(replace(['x'], [engine('s', 0, 8)])).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/gateway/splitEvents.test.ts
@@ -0,0 +1,26 @@
+import { splitEvents } from './splitEvents';
+
+const texts = (pending: string, chunk: string): readonly [readonly string[], string] => {
+  const { events, rest } = splitEvents(Buffer.from(pending), Buffer.from(chunk));
+  return [events.map(({ id, bytes }) => `${id ?? '-'}|${bytes.toString()}`), rest.toString()];
+};
+
+describe('splitEvents', () => {
+  it('keeps the bytes of each event', () => {
+    expect(texts('', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')).toEqual([
+      ['1|id: 1\ndata: a\n\n', '2|id: 2\ndata: b\n\n'],
+      '',
+    ]);
+  });
+
+  it('holds back an event whose end has not come', () => {
+    expect(texts('id: 3\nda', 'ta: c\n\nid: 4')).toEqual([['3|id: 3\ndata: c\n\n'], 'id: 4']);
+  });
+
+  it('reads the id after another line and knows events without one', () => {
+    expect(texts('', 'event: x\nid:5\n\n: ping\n\n')).toEqual([
+      ['5|event: x\nid:5\n\n', '-|: ping\n\n'],
+      '',
+    ]);
+  });
+});
--- /dev/null
+++ b/src/placing/electExecutor.test.ts
@@ -0,0 +1,28 @@
+import { electExecutor } from './electExecutor';
+
+const vm = (name: string, incarnation = '1') => ({ vm: name, incarnation });
+const row = (name: string, incarnation = '1') => ({ ...vm(name, incarnation), version: 7 });
+
+describe('electExecutor', () => {
+  it('lets the first live VM take a row that nobody holds', () => {
+    const live = [vm('b'), vm('a')];
+    expect(electExecutor({ row: undefined, self: vm('a'), live })).toBe('take');
+    expect(electExecutor({ row: undefined, self: vm('b'), live })).toBe('stand-by');
+  });
+
+  it('stays with its holder while that is live', () => {
+    const live = [vm('a'), vm('b')];
+    expect(electExecutor({ row: row('b'), self: vm('a'), live })).toBe('stand-by');
+    expect(electExecutor({ row: row('b'), self: vm('b'), live })).toBe('hold');
+  });
+
+  it('passes on when its holder is gone or has started anew', () => {
+    expect(electExecutor({ row: row('b'), self: vm('a'), live: [vm('a')] })).toBe('take');
+    const live = [vm('a'), vm('b', '2')];
+    expect(electExecutor({ row: row('b'), self: vm('a'), live })).toBe('take');
+  });
+
+  it('takes nothing while this VM accepts no callers', () => {
+    expect(electExecutor({ row: undefined, self: vm('a'), live: [vm('b')] })).toBe('stand-by');
+  });
+});
