See resets that come with the last bytes, and count runs on engines that live on

Cause of MIXED: libuv reports an end instead of an error where data and a reset are polled together, so a cut reply without a length looked whole (traced: end, then close without an error). A socket that was reset has no peer address, which is asked before anything else handles the end. Cause of BUDGET: streams that were given up as silent went to a third living engine.

--- a/src/adapters/gateway/openExchange.test.ts
+++ b/src/adapters/gateway/openExchange.test.ts
@@ -56,6 +56,18 @@
     expect((await body).type).toBe('broken');
   });
 
+  it('sees a reset that comes together with the last bytes', async () => {
+    const address = await listen((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(`${HEAD}par`);
+        socket.resetAndDestroy();
+      });
+    });
+    const end = await exchange(address).then(readReplyBody, () => ({ type: 'broken' }));
+    expect(end.type).toBe('broken');
+  });
+
   it('knows that nothing was sent where no connection was made', async () => {
     const address = await listen(() => undefined);
     await new Promise((resolve) => server.close(resolve));
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -36,6 +36,7 @@
   const [host, port] = request.address.split(':');
   let isSent = false;
   let isOver = false;
+  let received: IncomingMessage | undefined;
   const outgoing = sendRequest({
     agent,
     host,
@@ -60,8 +61,12 @@
       isSent = true;
       clearTimeout(timer);
     });
+    socket.prependOnceListener('end', () => {
+      // A reset that comes together with the last bytes is shown as an orderly end, but the socket
+      // has no peer any more.
+      if (socket.remoteAddress === undefined) received?.destroy(new Error('connection reset'));
+    });
   });
-  let received: IncomingMessage | undefined;
   outgoing.on('error', (error) => {
     // A reply without a length ends with its connection; after a reset it must not look complete.
     received?.destroy(error);
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -40,13 +40,15 @@
   };
   const tokens = expectedTokens(job);
   let sent = 0;
+  const runs: Promise<boolean>[] = [];
   let mayHaveRun = false;
   let lastEnd: AttemptEnd | undefined;
   host.budgets.noteRequest(profile.name);
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
     const stages = await awaitChain(host, job, room, tokens, progress.events > 0);
     if (job.isOver()) return;
-    const mayRepeat = sent === 0 || host.budgets.takeRetry(profile.name);
+    const hasAttempts = await hasAttemptsLeft(runs, rule.maxAttempts);
+    const mayRepeat = sent === 0 || (hasAttempts && host.budgets.takeRetry(profile.name));
     if (stages === undefined || !mayRepeat) break;
     const end = await runStreamAttempt(host, {
       job,
@@ -73,13 +75,29 @@
     if (end.type === 'broken') {
       mayHaveRun = true;
       if (!rule.isResumable) break;
-      void host.probes.ask(entry);
+      runs.push(isStillRunning(host, entry));
       host.board.rest(entry, REST_MS);
     }
   }
   if (!job.isOver()) finish(host, job, lastEnd, mayHaveRun);
 }
 
+/** Whether an engine on which a run broke off lives on, so that the run counts as an attempt. */
+async function isStillRunning(host: GatewayHost, server: string): Promise<boolean> {
+  const result = await host.probes.ask(server);
+  const isSuspected = host.board.suspicions().some(({ id }) => id === server);
+  return result.type === 'report' && !isSuspected;
+}
+
+async function hasAttemptsLeft(
+  runs: readonly Promise<boolean>[],
+  maxAttempts: number,
+): Promise<boolean> {
+  if (runs.length < maxAttempts) return true;
+  const counted = await Promise.all(runs);
+  return counted.filter(Boolean).length < maxAttempts;
+}
+
 /** Prompt and answer as far as they can be foreseen. */
 function expectedTokens({ head, profile }: Job): number {
   const usual = profile.model?.usualAnswerTokens ?? 0;
