--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -1,7 +1,7 @@
 /**
- * Serves a request whose answer is delivered whole. One that may not repeat is sent once; only proof
- * that nothing ran allows another server. One that may repeat is sent again, within the route's
- * attempts and the retry budget.
+ * Serves a request whose answer is delivered whole. One that may not repeat is sent again only on
+ * proof that it has not run. One that may repeat is sent again after a failure, to no more servers
+ * than the route allows, but more than once to a server that fails some requests and not others.
  */
 
 import type { ListedServer } from '../../chains/layerEngine';
@@ -18,58 +18,80 @@
 /** When to come back after all servers were full or silent, milliseconds. */
 const RETRY_AFTER_MS = 250;
 
+/** First status that says that the server failed. */
+const FIRST_FAILURE_STATUS = 500;
+
 /** Rest of a server that turned a call away, milliseconds: a few calls' time. */
 const REST_MS = 60;
 
+/** Times that one request is sent at most; failures that go on are not of one server. */
+const MAX_RUNS = 4;
+
 /** Serves the job to its end. */
 export async function serveCall(host: GatewayHost, job: Job, history: CallHistory): Promise<void> {
   const { rule, profile } = job;
-  const tried = new Set<string>();
+  const servers = new Set<string>();
+  let failedBy: string | undefined;
   let fallback: ServerReply | undefined;
-  let sent = 0;
   let lastEnd: CallEnd = { type: 'not-run', detail: 'no server' };
   host.budgets.noteRequest(profile.name);
-  while (!job.isOver()) {
-    const server = pickServer(host, job, history, tried);
-    const isAllowed =
-      sent < rule.maxAttempts && (sent === 0 || host.budgets.takeRetry(profile.name));
-    if (server === undefined || !isAllowed) break;
-    tried.add(server.id);
-    const startedMs = host.now();
-    const call = callServer(host, job, server);
-    const isLastTry = sent + 1 >= rule.maxAttempts || !rule.isIdempotent;
-    const timer = isLastTry
-      ? undefined
-      : setTimeout(() => {
-          call.abandon('no answer in time');
-        }, rule.targetMs * PATIENCE_TARGETS);
-    const end = await call.end;
-    clearTimeout(timer);
-    const tookMs = host.now() - startedMs;
-    const isFailure =
-      end.type !== 'stopped' && (end.type !== 'answered' || end.reply.status >= 500);
-    history.note(server.id, isFailure, tookMs);
-    host.log('call tried', {
-      id: job.head.id,
-      server: server.id,
-      end: end.type,
-      detail: 'detail' in end ? end.detail : undefined,
-      status: end.type === 'answered' ? end.reply.status : undefined,
-      tookMs: Math.round(tookMs),
+  for (let runs = 0; runs < MAX_RUNS && !job.isOver(); runs += 1) {
+    const server = pickServer(host, job, history, {
+      only: servers.size < rule.maxAttempts ? undefined : servers,
+      failedBy,
     });
+    if (server === undefined) break;
+    if (servers.size > 0 && !host.budgets.takeRetry(profile.name)) break;
+    const end = await runOnce(host, job, history, server, runs);
     if (end.type === 'stopped') return;
-    if (end.type !== 'unreached') sent += 1;
     lastEnd = end;
-    if (end.type === 'unreached') host.board.suspect(server.id, end.detail);
-    if (end.type === 'not-run') host.board.rest(server.id, REST_MS);
-    if (end.type === 'answered') {
-      fallback = end.reply;
-      if (end.reply.status < 500 || !rule.isIdempotent) break;
+    failedBy = server.id;
+    if (end.type === 'unreached') {
+      host.board.suspect(server.id, end.detail);
+      continue;
+    }
+    servers.add(server.id);
+    if (end.type === 'not-run') {
+      host.board.rest(server.id, REST_MS);
+      continue;
     }
-    if (end.type === 'unknown' && !rule.isIdempotent) break;
+    if (end.type === 'answered') fallback = end.reply;
+    const isDone = end.type === 'answered' && end.reply.status < FIRST_FAILURE_STATUS;
+    if (isDone || !rule.isIdempotent) break;
   }
-  if (job.isOver()) return;
-  finish(host, job, fallback, lastEnd);
+  if (!job.isOver()) finish(host, job, fallback, lastEnd);
+}
+
+async function runOnce(
+  host: GatewayHost,
+  job: Job,
+  history: CallHistory,
+  server: ListedServer,
+  runs: number,
+): Promise<CallEnd> {
+  const startedMs = host.now();
+  const call = callServer(host, job, server);
+  const isLast = runs + 1 >= job.rule.maxAttempts || !job.rule.isIdempotent;
+  const timer = isLast
+    ? undefined
+    : setTimeout(() => {
+        call.abandon('no answer in time');
+      }, job.rule.targetMs * PATIENCE_TARGETS);
+  const end = await call.end;
+  clearTimeout(timer);
+  const tookMs = host.now() - startedMs;
+  const isFailure =
+    end.type !== 'stopped' && (end.type !== 'answered' || end.reply.status >= FIRST_FAILURE_STATUS);
+  history.note(server.id, isFailure, tookMs);
+  host.log('call tried', {
+    id: job.head.id,
+    server: server.id,
+    end: end.type,
+    detail: 'detail' in end ? end.detail : undefined,
+    status: end.type === 'answered' ? end.reply.status : undefined,
+    tookMs: Math.round(tookMs),
+  });
+  return end;
 }
 
 function finish(
@@ -91,20 +113,29 @@
   else refuseJob(job.response, 'unknown-outcome', host.protocol);
 }
 
+interface ServerChoice {
+  /** Servers that the request may still be sent to; undefined allows all. */
+  readonly only: ReadonlySet<string> | undefined;
+  /** The server that failed it last; another is better. */
+  readonly failedBy: string | undefined;
+}
+
 function pickServer(
   host: GatewayHost,
   job: Job,
   history: CallHistory,
-  tried: ReadonlySet<string>,
+  { only, failedBy }: ServerChoice,
 ): ListedServer | undefined {
-  const candidates = host.board
+  const allowed = host.board
     .usable(job.profile.name)
-    .filter(({ id }) => !tried.has(id))
+    .filter(({ id }) => only?.has(id) ?? true)
     .map((server) => ({
       ...server,
       running: host.board.running(server.id),
       ...history.of(server.id),
     }));
+  const others = allowed.filter(({ id }) => id !== failedBy);
+  const candidates = others.length > 0 ? others : allowed;
   const chosen = chooseCallServer(candidates, host.failureDomain, job.rule.targetMs, host.random());
   return chosen === undefined ? undefined : host.board.find(chosen.id);
 }
