--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -32,6 +32,8 @@
   readonly isConfirmed: () => boolean;
   /** No new request may be taken; the VM is about to stop. */
   readonly isClosing: () => boolean;
+  /** Another VM takes callers. */
+  readonly hasPeers: () => boolean;
   /** Connections are to be given up after their next answer. */
   readonly isDraining: () => boolean;
 }
@@ -42,6 +44,9 @@
 /** When to come back to another VM, milliseconds. */
 const ELSEWHERE_RETRY_MS = 50;
 
+/** When to come back where no VM takes callers, as while the store is away, milliseconds. */
+const NOWHERE_RETRY_MS = 1_500;
+
 /** Answers this close to the end of a request's time would come too late, milliseconds. */
 const EXPIRY_MARGIN_MS = 10;
 
@@ -49,7 +54,7 @@
 
 /** Creates the gateway; it listens on nothing itself. */
 export function createGateway(options: GatewayOptions): Gateway {
-  const { host, catalog, isConfirmed, isClosing, isDraining } = options;
+  const { host, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
   const history = createCallHistory(host.now);
   const room = createWaitingRoom(host.now);
   host.board.onChange(room.wake);
@@ -74,7 +79,8 @@
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMs = host.now();
-    const elsewhere = { retryAfterMs: ELSEWHERE_RETRY_MS, isLast: true };
+    const retryAfterMs = hasPeers() ? ELSEWHERE_RETRY_MS : NOWHERE_RETRY_MS;
+    const elsewhere = { retryAfterMs, isLast: true };
     if (isDraining()) response.setHeader('connection', 'close');
     const published = catalog();
     if (published === undefined || isClosing()) {
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -1,7 +1,7 @@
 /** Settings of a gateway: a TOML file, checked as a whole before anything starts. */
 
 import { parse } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'must be IP:PORT');
 const duration = z.number().nonnegative();
--- a/src/node/parsePeerRecord.ts
+++ b/src/node/parsePeerRecord.ts
@@ -1,6 +1,6 @@
 /** Reads the record that a VM wrote about itself. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PeerRecord } from '../peers/peer';
 
 const schema = z.object({
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -149,6 +149,7 @@
     isConfirmed,
     isClosing,
     isDraining: () => stoppingMs !== undefined,
+    hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
   });
   const placer = createPlacer({ board, protocol, catalog: () => catalog, now, log: write });
   const seat = createExecutorSeat({
