Spread moves off a leaving engine over its drain

Cause: a release or scale-in moved every stream of an engine at once; the engines that took them over read some 50,000 tokens in a row, first events waited one to two seconds and callers left. Ruled out: memory (0.4 to 0.9 taken) and places (none queued) by the engines' reports.

--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -11,6 +11,7 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import { judgeSilence } from '../../gateway/judgeSilence';
 import { openExchange } from './openExchange';
+import { planDeparture } from '../../gateway/planDeparture';
 import { readReplyBody } from './readReplyBody';
 import { splitEvents } from '../../gateway/splitEvents';
 import type { StreamEvent } from '../../gateway/splitEvents';
@@ -37,6 +38,8 @@
   readonly stages: readonly Stage[];
   /** Tokens that the request is expected to hold at its end. */
   readonly tokens: number;
+  /** Events that the whole stream is expected to have. */
+  readonly expectedEvents: number;
   readonly progress: StreamProgress;
   readonly onProgress: (progress: StreamProgress) => void;
 }
@@ -65,6 +68,7 @@
   let hasOwnEvents = false;
   let probedMs = Number.NEGATIVE_INFINITY;
   let isRepairing = false;
+  const moves: NodeJS.Timeout[] = [];
   let isOver = false;
   const hasEnded = (): boolean => isOver;
   const [entry] = stages;
@@ -77,6 +81,7 @@
     if (isOver) return;
     isOver = true;
     watch.remove(watched);
+    for (const move of moves) clearTimeout(move);
     reservation.release();
     exchange.abort();
     resolve(end);
@@ -238,7 +243,18 @@
     },
     onServerLeaving: (id: string) => {
       if (id === entry.id || !stages.some((stage) => stage.id === id)) return;
-      void repair(new Set([id]), 'engine leaving');
+      const delayMs = planDeparture({
+        drainMs: host.drainMs,
+        eventsLeft: Math.max(1, options.expectedEvents - progress.events),
+        meanGapMs: progress.meanGapMs,
+        draw: host.random(),
+      });
+      if (delayMs === undefined) return;
+      moves.push(
+        setTimeout(() => {
+          if (stages.some((stage) => stage.id === id)) void repair(new Set([id]), 'engine leaving');
+        }, delayMs),
+      );
     },
   };
   const headers = protocol.forwardHeaders(job.headers, {
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -55,6 +55,7 @@
       model: profile.model,
       stages,
       tokens,
+      expectedEvents: expectedEvents(job),
       progress,
       onProgress: (next) => {
         progress = next;
@@ -82,6 +83,14 @@
   if (!job.isOver()) finish(host, job, lastEnd, mayHaveRun);
 }
 
+/** Tokens that an event holds at least; an estimate of the events errs on the side of too many. */
+const TOKENS_PER_EVENT = 2;
+
+function expectedEvents({ head, profile }: Job): number {
+  const usual = profile.model?.usualAnswerTokens ?? 0;
+  return Math.min(head.maxAnswerTokens, head.expectedAnswerTokens ?? usual) / TOKENS_PER_EVENT;
+}
+
 /** Whether an engine on which a run broke off lives on, so that the run counts as an attempt. */
 async function isStillRunning(host: GatewayHost, server: string): Promise<boolean> {
   const result = await host.probes.ask(server);
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -39,6 +39,8 @@
   readonly probes: ServerProbes;
   readonly watch: StreamWatch;
   readonly failureDomain: string;
+  /** Time for which a leaving backend server still serves, milliseconds. */
+  readonly drainMs: number;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   /** Uniform in [0, 1). */
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -24,6 +24,10 @@
     /** From the request to stop until the process is killed, seconds. */
     grace_s: duration,
   }),
+  servers: z.object({
+    /** For so long a leaving backend server still serves, milliseconds. */
+    drain_ms: duration,
+  }),
   credentials: z.object({
     /** Within this time of its removal a credential is no longer honoured, milliseconds. */
     revoke_ms: duration,
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -137,6 +137,7 @@
     probes,
     watch: createStreamWatch(board),
     failureDomain: self.failureDomain,
+    drainMs: settings.servers.drain_ms,
     now,
     random: Math.random,
     log: write,
