Mend a zone's chain with its own spare copies; refuse behind engines whose first events come late

Cause: engines that were lost left holes in their zone's chain while other layers there were held twice, so requests crossed zones (traced: holders of each layer by zone, engines' running requests).

--- /dev/null
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -0,0 +1,139 @@
+/**
+ * Keeps the chain of one running stream whole: finds out which of its engines are lost, and has the
+ * first engine run the stream over others from then on.
+ */
+
+import { crossingCost } from '../../chains/crossingCost';
+import type { Stage } from '../../chains/layerEngine';
+import type { PipelineModel } from '../../chains/pipelineModel';
+import { replaceStages } from '../../chains/replaceStages';
+import type { OrderResult } from '../../gateway/backendProtocol';
+import type { GatewayHost, Job } from '../../gateway/job';
+
+export interface ChainRepair {
+  readonly includes: (server: string) => boolean;
+  /** Replaces lost engines; breaks the stream off where the first is lost. */
+  readonly repair: (lost: ReadonlySet<string>, cause: string) => Promise<void>;
+  /** Asks all engines of the chain and replaces those that are lost. */
+  readonly probe: () => Promise<void>;
+  /** When the engines were asked last, monotonic, milliseconds. */
+  readonly probedMs: () => number;
+  /** When the chain was changed last, monotonic, milliseconds. */
+  readonly repairedMs: () => number;
+  readonly lastCause: () => string | undefined;
+  /** Gives back the room that the stream was promised. */
+  readonly release: () => void;
+}
+
+export interface ChainRepairOptions {
+  readonly job: Job;
+  /** Undefined for a service whose servers answer alone. */
+  readonly model: PipelineModel | undefined;
+  readonly stages: readonly Stage[];
+  /** Tokens that the request is expected to hold at its end. */
+  readonly tokens: number;
+  readonly isOver: () => boolean;
+  readonly hasEvents: () => boolean;
+  /** Since the last event, milliseconds. */
+  readonly silentMs: () => number;
+  readonly onBroken: (detail: string) => void;
+}
+
+/** Rest of an engine that had no room for a repair, milliseconds. */
+const REPAIR_REST_MS = 200;
+
+/** Status of an order about a run that the engine does not have. */
+const NO_SUCH_RUN = 404;
+
+/** Takes the room on the stages and watches nothing yet. */
+export function createChainRepair(host: GatewayHost, options: ChainRepairOptions): ChainRepair {
+  const { job, model, tokens, isOver } = options;
+  const { board, protocol, now } = host;
+  const [entry] = options.stages;
+  let { stages } = options;
+  let reservation = board.reserve(stages, tokens);
+  let isRepairing = false;
+  let probedMs = Number.NEGATIVE_INFINITY;
+  let repairedMs = Number.NEGATIVE_INFINITY;
+  let lastCause: string | undefined;
+
+  const findPath = (
+    pipeline: PipelineModel,
+    lost: ReadonlySet<string>,
+  ): readonly Stage[] | undefined =>
+    replaceStages({
+      stages,
+      lost,
+      engines: board.chainEngines(job.profile.name, pipeline),
+      tokens,
+      fromDomain: host.failureDomain,
+      domainDelayMs: pipeline.domainDelayMs,
+      crossingMs: crossingCost(pipeline, board.crossingShare(pipeline)),
+      excluded: new Set(),
+      domains: new Map(
+        stages.map(({ id }) => [id, board.find(id)?.failureDomain ?? host.failureDomain]),
+      ),
+    });
+  const takeResult = (path: readonly Stage[], result: OrderResult): void => {
+    host.count('chain_repairs', result.type);
+    if (result.type === 'accepted') {
+      reservation.release();
+      stages = path;
+      reservation = board.reserve(stages, tokens);
+      repairedMs = now();
+      return;
+    }
+    const status = result.type === 'rejected' ? result.status : undefined;
+    const address = result.type === 'rejected' ? result.address : undefined;
+    host.log('chain repair failed', { id: job.head.id, result: result.type, status, address });
+    const blamed = board.findByAddress(address ?? '');
+    if (blamed !== undefined) board.rest(blamed.id, REPAIR_REST_MS);
+    else if (status === NO_SUCH_RUN && options.hasEvents()) options.onBroken('run is gone');
+  };
+  const repair = async (lost: ReadonlySet<string>, cause: string): Promise<void> => {
+    if (isOver() || isRepairing || model === undefined || entry === undefined) return;
+    if (lost.has(entry.id)) {
+      options.onBroken(cause);
+      return;
+    }
+    const path = findPath(model, lost);
+    lastCause = cause;
+    host.log('chain repair', {
+      id: job.head.id,
+      lost: [...lost].join(' '),
+      cause,
+      found: path !== undefined,
+      silentMs: Math.round(options.silentMs()),
+    });
+    if (path === undefined) return;
+    isRepairing = true;
+    const result = await protocol.changePath(entry.address, job.head.id, path);
+    isRepairing = false;
+    if (!isOver()) takeResult(path, result);
+  };
+  /** Engines of the chain that are suspected, or that the first engine waits for. */
+  const findLost = (waitedFor: ReadonlySet<string>): ReadonlySet<string> => {
+    const suspected = new Set(board.suspicions().map(({ id }) => id));
+    const lost = stages.filter(({ id, address }) => suspected.has(id) || waitedFor.has(address));
+    return new Set(lost.map(({ id }) => id));
+  };
+  return {
+    includes: (server) => stages.some(({ id }) => id === server),
+    repair,
+    probe: async () => {
+      probedMs = now();
+      const [first] = await Promise.all(stages.map(({ id }) => host.probes.ask(id)));
+      if (isOver()) return;
+      const stalled = first?.type === 'report' ? first.report.stalled : [];
+      const own = stalled.filter(({ requestId }) => requestId === job.head.id);
+      const lost = findLost(new Set(own.map(({ address }) => address)));
+      if (lost.size > 0) await repair(lost, 'silent');
+    },
+    probedMs: () => probedMs,
+    repairedMs: () => repairedMs,
+    lastCause: () => lastCause,
+    release: () => {
+      reservation.release();
+    },
+  };
+}
--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -96,17 +96,24 @@
       from: order.layers.from,
       to: order.layers.to,
       ordersBefore: report.orders,
+      failureDomain: server.failureDomain,
+      kind: server.kind,
       result: result.type,
       status: result.type === 'rejected' ? result.status : undefined,
     });
     if (result.type !== 'accepted') hold(order.id, FAILED_ORDER_MS);
   };
-  const toCandidate = (server: ListedServer, lost: ReadonlySet<string>): PlacementCandidate => ({
+  const toCandidate = (
+    server: ListedServer,
+    model: PipelineModel,
+    lost: ReadonlySet<string>,
+  ): PlacementCandidate => ({
     id: server.id,
     failureDomain: server.failureDomain,
     kind: server.kind ?? '',
     layers: pending.get(server.id)?.layers ?? server.layers,
     isFree: !pending.has(server.id) && !lost.has(server.id),
+    loadShare: board.loadShare(server.id, model),
   });
   const place = (service: string, model: PipelineModel): void => {
     const servers = board.servers(service).filter(({ isDraining }) => !isDraining);
@@ -115,7 +122,7 @@
     const present = servers.filter(({ id }) => !lost.has(id));
     const orders = planLayers(
       model,
-      present.map((server) => toCandidate(server, lost)),
+      present.map((server) => toCandidate(server, model, lost)),
     );
     for (const order of orders) {
       const server = board.find(order.id);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -5,9 +5,8 @@
 
 import type { IncomingMessage } from 'node:http';
 import type { PipelineModel } from '../../chains/pipelineModel';
-import { crossingCost } from '../../chains/crossingCost';
-import { replaceStages } from '../../chains/replaceStages';
 import type { Stage } from '../../chains/layerEngine';
+import { createChainRepair } from './createChainRepair';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { judgeSilence } from '../../gateway/judgeSilence';
 import { openExchange } from './openExchange';
@@ -62,39 +61,60 @@
   const { job, model, tokens } = options;
   const { protocol, board, watch, now } = host;
   const startedMs = now();
-  let { stages } = options;
   let progress: StreamProgress = { ...options.progress, activeMs: startedMs };
-  let reservation = board.reserve(stages, tokens);
+  const startWait = host.startTimes.begin(options.stages[0]?.id ?? '');
   let hasOwnEvents = false;
-  let probedMs = Number.NEGATIVE_INFINITY;
-  let isRepairing = false;
   const moves: NodeJS.Timeout[] = [];
   let isOver = false;
-  const hasEnded = (): boolean => isOver;
-  const [entry] = stages;
+  const [entry] = options.stages;
   if (entry === undefined) {
     resolve({ type: 'unreached', detail: 'empty chain' });
     return;
   }
 
+  const chain = createChainRepair(host, {
+    job,
+    model,
+    tokens,
+    stages: options.stages,
+    isOver: () => isOver,
+    hasEvents: () => hasOwnEvents,
+    silentMs: () => now() - progress.activeMs,
+    onBroken: (detail) => {
+      settle({ type: 'broken', detail });
+    },
+  });
   const settle = (end: AttemptEnd): void => {
     if (isOver) return;
     isOver = true;
     watch.remove(watched);
     for (const move of moves) clearTimeout(move);
-    reservation.release();
+    chain.release();
+    startWait.ended();
     exchange.abort();
     resolve(end);
   };
+  const notePause = (gapMs: number): void => {
+    host.observe('event_gap', gapMs);
+    if (gapMs <= job.rule.targetGapMs) return;
+    host.log('stream paused', {
+      id: job.head.id,
+      gapMs: Math.round(gapMs),
+      events: progress.events,
+      sinceRepairMs: Math.round(now() - chain.repairedMs()),
+      lastCause: chain.lastCause(),
+    });
+  };
   const deliver = (events: readonly StreamEvent[]): void => {
     const fresh = events.filter(({ id }) => isNewer(id, progress.lastEventId));
     if (fresh.length === 0) return;
     const nowMs = now();
     for (const { id } of fresh) {
       if (progress.events === 0) host.observe('first_event', nowMs - job.arrivedMs);
-      else host.observe('event_gap', nowMs - progress.activeMs);
+      else notePause(nowMs - progress.activeMs);
       progress = noteEvent(progress, id, nowMs);
     }
+    if (!hasOwnEvents) startWait.started();
     hasOwnEvents = true;
     board.noteEvent(entry.id);
     options.onProgress(progress);
@@ -152,76 +172,6 @@
     });
   };
 
-  /** Replaces lost engines of the chain; breaks the attempt off where the first is lost. */
-  const repair = async (lost: ReadonlySet<string>, cause: string): Promise<void> => {
-    if (hasEnded() || isRepairing || model === undefined) return;
-    if (lost.has(entry.id)) {
-      settle({ type: 'broken', detail: cause });
-      return;
-    }
-    const path = replaceStages({
-      stages,
-      lost,
-      engines: board.chainEngines(job.profile.name, model),
-      tokens,
-      fromDomain: host.failureDomain,
-      domainDelayMs: model.domainDelayMs,
-      crossingMs: crossingCost(model, board.crossingShare(model)),
-      excluded: new Set(),
-      domains: new Map(
-        stages.map(({ id }) => [id, board.find(id)?.failureDomain ?? host.failureDomain]),
-      ),
-    });
-    host.log('chain repair', {
-      id: job.head.id,
-      lost: [...lost].join(' '),
-      cause,
-      found: path !== undefined,
-      silentMs: Math.round(now() - progress.activeMs),
-    });
-    if (path === undefined) return;
-    isRepairing = true;
-    const result = await protocol.changePath(entry.address, job.head.id, path);
-    isRepairing = false;
-    if (hasEnded()) return;
-    host.count('chain_repairs', result.type);
-    if (result.type === 'accepted') {
-      reservation.release();
-      stages = path;
-      reservation = board.reserve(stages, tokens);
-      return;
-    }
-    host.log('chain repair failed', {
-      id: job.head.id,
-      status: result.type === 'rejected' ? result.status : undefined,
-      address: result.type === 'rejected' ? result.address : undefined,
-    });
-    const blamed =
-      result.type === 'rejected' ? board.findByAddress(result.address ?? '') : undefined;
-    if (blamed !== undefined) board.rest(blamed.id, REPAIR_REST_MS);
-    else if (result.type === 'rejected' && result.status === 404 && hasOwnEvents) {
-      settle({ type: 'broken', detail: 'run is gone' });
-    }
-  };
-  const lostStages = (): ReadonlySet<string> => {
-    const suspected = new Set(board.suspicions().map(({ id }) => id));
-    return new Set(stages.map(({ id }) => id).filter((id) => suspected.has(id)));
-  };
-  const probe = async (): Promise<void> => {
-    probedMs = now();
-    const reports = await Promise.all(stages.map(({ id }) => host.probes.ask(id)));
-    if (isOver) return;
-    const [first] = reports;
-    const stalledAt =
-      first?.type === 'report'
-        ? first.report.stalled.filter(({ requestId }) => requestId === job.head.id)
-        : [];
-    const blamed = stages
-      .filter(({ address }) => stalledAt.some((work) => work.address === address))
-      .map(({ id }) => id);
-    const lost = new Set([...lostStages(), ...blamed]);
-    if (lost.size > 0) await repair(lost, 'silent');
-  };
   const watched = {
     check: () => {
       const nowMs = now();
@@ -232,17 +182,17 @@
         targetMs: job.rule.targetMs,
         targetGapMs: job.rule.targetGapMs,
         othersSilentMs: nowMs - board.lastEventMs(entry.id),
-        sinceProbeMs: nowMs - probedMs,
+        sinceProbeMs: nowMs - chain.probedMs(),
       });
-      if (verdict === 'probe') void probe();
+      if (verdict === 'probe') void chain.probe();
       if (verdict === 'give-up' && job.rule.isResumable)
         settle({ type: 'broken', detail: 'silent' });
     },
     onServerLost: (id: string) => {
-      if (stages.some((stage) => stage.id === id)) void repair(new Set([id]), 'engine lost');
+      if (chain.includes(id)) void chain.repair(new Set([id]), 'engine lost');
     },
     onServerLeaving: (id: string) => {
-      if (id === entry.id || !stages.some((stage) => stage.id === id)) return;
+      if (id === entry.id || !chain.includes(id)) return;
       const delayMs = planDeparture({
         drainMs: host.drainMs,
         eventsLeft: Math.max(1, options.expectedEvents - progress.events),
@@ -252,7 +202,7 @@
       if (delayMs === undefined) return;
       moves.push(
         setTimeout(() => {
-          if (stages.some((stage) => stage.id === id)) void repair(new Set([id]), 'engine leaving');
+          if (chain.includes(id)) void chain.repair(new Set([id]), 'engine leaving');
         }, delayMs),
       );
     },
@@ -262,7 +212,7 @@
     serverId: entry.id,
     workspace: job.workspace,
     priority: job.priority,
-    stages: model === undefined ? [] : stages,
+    stages: model === undefined ? [] : options.stages,
     lastEventId: progress.lastEventId,
   });
   const exchange = openExchange(
@@ -279,6 +229,3 @@
     settle({ type: 'stopped' });
   });
 }
-
-/** Rest of an engine that had no room for a repair, milliseconds. */
-const REPAIR_REST_MS = 200;
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -14,7 +14,10 @@
 import type { StreamProgress } from '../../gateway/streamProgress';
 
 /** Part of the first event's target that a request may wait for room. */
-const WAIT_SHARE = 0.5;
+const WAIT_SHARE = 0.25;
+
+/** Targets of the first event that it may be expected to take; beyond, coming back is no later. */
+const MAX_START_TARGETS = 1.5;
 
 /** Longest wait of a stream that has begun for room to go on, milliseconds; callers leave soon after. */
 const RESUME_WAIT_MS = 1_200;
@@ -23,7 +26,7 @@
 const REST_MS = 300;
 
 /** When to come back where chains are full, and where there is none, milliseconds. */
-const FULL_RETRY_MS = 1_000;
+const FULL_RETRY_MS = 2_500;
 const NO_CHAIN_RETRY_MS = 2_500;
 
 /** Attempts after which a stream is given up, however they failed. */
@@ -122,16 +125,22 @@
   hasBegun: boolean,
 ): Promise<readonly Stage[] | undefined> {
   const patienceMs = hasBegun ? RESUME_WAIT_MS : job.rule.targetMs * WAIT_SHARE;
+  const maxStartMs = job.rule.targetMs * MAX_START_TARGETS;
   const untilMs = Math.min(job.expiresMs, host.now() + patienceMs);
   for (;;) {
-    const stages = searchChain(host, job, tokens);
+    const stages = searchChain(host, job, tokens, hasBegun ? Infinity : maxStartMs);
     if (stages !== undefined) return stages;
     const isWoken = await room.wait(hasBegun ? -1 : job.priority, untilMs);
     if (!isWoken || job.isOver()) return undefined;
   }
 }
 
-function searchChain(host: GatewayHost, job: Job, tokens: number): readonly Stage[] | undefined {
+function searchChain(
+  host: GatewayHost,
+  job: Job,
+  tokens: number,
+  maxStartMs: number,
+): readonly Stage[] | undefined {
   const { board } = host;
   const { name, model } = job.profile;
   if (model === undefined) {
@@ -150,6 +159,7 @@
     crossingMs: crossingCost(model, board.crossingShare(model)),
     excluded: new Set(),
     isEntry: true,
+    maxStartMs,
   });
 }
 
@@ -207,6 +217,6 @@
 
 /** Longer where no chain covers the model: engines have to load layers first. */
 function retryAfter(host: GatewayHost, job: Job): number {
-  const empty = searchChain(host, job, 0);
+  const empty = searchChain(host, job, 0, Infinity);
   return empty === undefined ? NO_CHAIN_RETRY_MS : FULL_RETRY_MS;
 }
--- a/src/chains/findChain.test.ts
+++ b/src/chains/findChain.test.ts
@@ -17,6 +17,7 @@
   reserved: 0,
   entered: 0,
   slots: 10,
+  startDelayMs: 0,
   ...more,
 });
 
@@ -82,6 +83,13 @@
     expect(pathOf(search([slow, engine('y', 0, 8, { reserved: 60_000 })]))).toBe('y 0-8');
   });
 
+  it('leaves out an engine behind which first events come too late', () => {
+    const slow = engine('x', 0, 8, { startDelayMs: 900 });
+    expect(pathOf(search([slow], { maxStartMs: 750 }))).toBeUndefined();
+    expect(pathOf(search([slow, engine('y', 0, 8)], { maxStartMs: 750 }))).toBe('y 0-8');
+    expect(pathOf(search([slow]))).toBe('x 0-8');
+  });
+
   it('replaces a part in the middle without taking a place for entries', () => {
     const taken = engine('x', 0, 8, { entered: 10 });
     const middle = search([taken], { layers: { from: 2, to: 4 }, isEntry: false });
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -29,6 +29,8 @@
   readonly excluded: ReadonlySet<string>;
   /** False where the path only replaces a part in the middle and so takes no entry slot. */
   readonly isEntry: boolean;
+  /** Longest wait for the first event at an engine that is entered, milliseconds. */
+  readonly maxStartMs?: number;
   /** Most stages that a path may have. */
   readonly maxStages?: number;
 }
@@ -45,6 +47,9 @@
 /** How much a full engine's step costs against an empty one's. */
 const LOAD_FACTOR = 6;
 
+/** Cost of a wait for the first event, against a step's time: an answer has many steps. */
+const START_WEIGHT = 0.05;
+
 interface Reached {
   readonly costMs: number;
   readonly stages: number;
@@ -55,7 +60,7 @@
 
 /** @returns the stages in order, undefined where no path has room */
 export function findChain(search: ChainSearch): readonly Stage[] | undefined {
-  const { layers, excluded, maxStages = MAX_STAGES } = search;
+  const { layers, excluded, maxStages = MAX_STAGES, maxStartMs = Infinity } = search;
   const usable = search.engines.filter(
     (engine) =>
       !excluded.has(engine.id) && engine.layers.to > layers.from && engine.layers.from < layers.to,
@@ -75,7 +80,7 @@
     if (states === undefined || position >= layers.to) continue;
     for (const engine of usable) {
       if (engine.layers.from > position || engine.layers.to <= position) continue;
-      if (position === layers.from && search.isEntry && engine.entered >= engine.slots) continue;
+      if (position === layers.from && search.isEntry && !isOpen(engine, maxStartMs)) continue;
       extend({ search, engine, position, states, cuts, reached, maxStages });
     }
   }
@@ -105,7 +110,8 @@
     if (state.stages >= maxStages || visits(state, engine.id)) continue;
     const isEntering = search.isEntry && state.engine === undefined;
     const elsewhereMs = isEntering ? search.domainDelayMs : search.crossingMs;
-    const delayMs = domain === engine.failureDomain ? 0 : elsewhereMs;
+    const startMs = isEntering ? engine.startDelayMs * START_WEIGHT : 0;
+    const delayMs = startMs + (domain === engine.failureDomain ? 0 : elsewhereMs);
     for (const to of cuts) {
       if (to <= position) continue;
       if (to > end) break;
@@ -121,6 +127,11 @@
   }
 }
 
+/** Whether a request may enter a path here. */
+function isOpen(engine: ChainEngine, maxStartMs: number): boolean {
+  return engine.entered < engine.slots && engine.startDelayMs <= maxStartMs;
+}
+
 function visits(state: Reached, id: string): boolean {
   for (let at: Reached | undefined = state; at !== undefined; at = at.previous) {
     if (at.engine?.id === id) return true;
--- a/src/chains/layerEngine.ts
+++ b/src/chains/layerEngine.ts
@@ -35,6 +35,8 @@
   /** Requests that entered the model at this engine, over all VMs. */
   readonly entered: number;
   readonly slots: number;
+  /** Time that a stream which enters here is likely to wait for its first event, milliseconds. */
+  readonly startDelayMs: number;
 }
 
 /** One engine's part of a request's path. */
--- a/src/chains/planLayers.test.ts
+++ b/src/chains/planLayers.test.ts
@@ -13,6 +13,7 @@
       kind,
       layers: undefined,
       isFree: true,
+      loadShare: 0,
     })),
   );
 
@@ -81,6 +82,7 @@
       kind: 'h100',
       layers: { from, to },
       isFree: true,
+      loadShare: 0,
     });
     const held = [hold('x', 0, 30), hold('y', 0, 30), hold('z', 60, 80)];
     const [order] = planLayers(testModel, held);
@@ -88,6 +90,23 @@
     expect(order?.layers).toEqual({ from: 30, to: 60 });
   });
 
+  it('mends the chain of a failure domain by its own spare copies, the least loaded first', () => {
+    const placed = place(site).filter(({ id }) => id !== 'a-l4-7');
+    const hole = place(site).find(({ id }) => id === 'a-l4-7')?.layers;
+    const loaded = placed.map((engine) => ({ ...engine, loadShare: 0.5 }));
+    let engines = loaded;
+    for (let round = 0; round < 4; round += 1) {
+      const orders = new Map(planLayers(testModel, engines).map(({ id, layers }) => [id, layers]));
+      engines = engines.map((engine) => ({
+        ...engine,
+        layers: orders.get(engine.id) ?? engine.layers,
+      }));
+    }
+    const own = engines.filter(({ failureDomain }) => failureDomain === 'a');
+    expect(hole).toBeDefined();
+    expect(Math.min(...holders(own))).toBeGreaterThanOrEqual(1);
+  });
+
   it('leaves engines alone that are leaving or already have an order', () => {
     const taken = site.map((engine) => ({ ...engine, isFree: false }));
     expect(planLayers(testModel, taken)).toEqual([]);
--- a/src/chains/planLayers.ts
+++ b/src/chains/planLayers.ts
@@ -19,6 +19,8 @@
   readonly layers: LayerRange | undefined;
   /** It may be given other layers; false for one that is leaving or already at work on an order. */
   readonly isFree: boolean;
+  /** Part of its memory for requests that is taken, 0 to 1; the least loaded spare moves first. */
+  readonly loadShare: number;
 }
 
 export interface LayerOrder {
@@ -40,7 +42,8 @@
  *
  * @param model the model and its kinds of engines
  * @param engines all engines of the model, in any order
- * @returns orders for empty engines, or for one spare copy where layers are held by no engine
+ * @returns orders for empty engines; where there is none, for spare copies whose failure domain lacks
+ *   other layers
  */
 export function planLayers(
   model: PipelineModel,
@@ -52,7 +55,7 @@
   const placed = applyOrders(sorted, first);
   const filled = fillShortages(model, placed);
   const orders = [...first, ...filled];
-  return orders.length > 0 ? orders : moveSpare(model, placed);
+  return orders.length > 0 ? orders : moveSpares(model, placed);
 }
 
 /** Tokens that an engine must leave room for. */
@@ -232,11 +235,25 @@
   return room;
 }
 
-/** Turns one engine over to layers that nobody holds, if its own layers have another holder. */
-function moveSpare(
+/** Turns spare copies over to layers that their failure domain lacks, one engine of each at a time. */
+function moveSpares(
   model: PipelineModel,
   engines: readonly PlacementCandidate[],
 ): readonly LayerOrder[] {
+  const domains = [...new Set(engines.map(({ failureDomain }) => failureDomain))].sort();
+  const orders = domains.flatMap((domain) => {
+    const own = engines.filter(({ failureDomain }) => failureDomain === domain);
+    const room = own.reduce((sum, { kind }) => sum + layerRoom(model, kind), 0);
+    return room < model.layers ? [] : moveSpare(model, own);
+  });
+  return orders.length > 0 ? orders : moveSpare(model, engines);
+}
+
+/** Number of engines that hold each layer. */
+function countHolders(
+  model: PipelineModel,
+  engines: readonly PlacementCandidate[],
+): readonly number[] {
   const holders = Array.from({ length: model.layers }, () => 0);
   for (const { layers } of engines) {
     if (layers === undefined) continue;
@@ -244,6 +261,15 @@
       holders[layer] = (holders[layer] ?? 0) + 1;
     }
   }
+  return holders;
+}
+
+/** Turns one engine over to the first layers that nobody holds, if its own have another holder. */
+function moveSpare(
+  model: PipelineModel,
+  engines: readonly PlacementCandidate[],
+): readonly LayerOrder[] {
+  const holders = countHolders(model, engines);
   const from = holders.indexOf(0);
   if (from < 0 || engines.every(({ layers }) => layers === undefined)) return [];
   let to = from;
@@ -255,9 +281,9 @@
       layerRoom(model, kind) > 0 &&
       holders.slice(layers.from, layers.to).every((count) => count > 1),
   );
-  const fitness = ({ kind }: PlacementCandidate): number =>
-    -Math.abs(layerRoom(model, kind) - (to - from));
-  const [spare] = spares.sort((one, other) => fitness(other) - fitness(one));
+  const cost = ({ kind, loadShare }: PlacementCandidate): number =>
+    Math.abs(layerRoom(model, kind) - (to - from)) / model.layers + loadShare;
+  const [spare] = spares.sort((one, other) => cost(one) - cost(other));
   if (spare === undefined) return [];
   const size = Math.min(layerRoom(model, spare.kind), to - from);
   return [{ id: spare.id, layers: { from, to: from + size } }];
--- a/src/chains/replaceStages.test.ts
+++ b/src/chains/replaceStages.test.ts
@@ -11,6 +11,7 @@
   reserved: 0,
   entered: 0,
   slots: 10,
+  startDelayMs: 0,
 });
 
 const stage = (id: string, from: number, to: number): Stage => ({
--- a/src/gateway/createServerBoard.ts
+++ b/src/gateway/createServerBoard.ts
@@ -5,6 +5,7 @@
 
 import type { PipelineModel } from '../chains/pipelineModel';
 import { createRateMeter } from './createRateMeter';
+import type { StartTimes } from './createStartTimes';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
 
 /** Work of one VM on one backend server. */
@@ -53,6 +54,8 @@
   readonly ownLoads: () => ServerLoads;
   readonly learnLoads: (vm: string, loads: ServerLoads) => void;
   readonly running: (id: string) => number;
+  /** Part of an engine's memory for requests that is promised, over all VMs. */
+  readonly loadShare: (id: string, model: PipelineModel) => number;
   /** Called when room or servers may have become available. */
   readonly onChange: (listener: () => void) => void;
   readonly onLost: (listener: (id: string) => void) => void;
@@ -63,6 +66,8 @@
 export interface ServerBoardOptions {
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
+  /** Waits for first events, by the engine that was entered. */
+  readonly startTimes: StartTimes;
   readonly onBelief: (
     message: string,
     fields: Readonly<Record<string, string | number | boolean>>,
@@ -85,7 +90,7 @@
 
 /** Creates an empty board. */
 export function createServerBoard(options: ServerBoardOptions): ServerBoard {
-  const { now, onBelief } = options;
+  const { now, onBelief, startTimes } = options;
   let listed = new Map<string, ListedServer>();
   let byAddress = new Map<string, ListedServer>();
   const suspected = new Map<string, ServerSuspicion>();
@@ -148,6 +153,7 @@
       reserved,
       entered: running,
       slots,
+      startDelayMs: startTimes.predictMs(id),
     };
   };
   const noteLeaving = (servers: ReadonlyMap<string, ListedServer>): readonly string[] =>
@@ -232,6 +238,11 @@
       others.set(vm, { loads, atMs: now() });
     },
     running: (id) => totalLoad(id).running,
+    loadShare: (id, model) => {
+      const server = listed.get(id);
+      const engine = server === undefined ? undefined : toChainEngine(server, model);
+      return engine === undefined ? 0 : engine.reserved / engine.capacity;
+    },
     onChange: (listener) => {
       changeListeners.push(listener);
     },
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -5,6 +5,7 @@
 import type { BackendProtocol, RequestHead } from './backendProtocol';
 import type { ServerBoard } from './createServerBoard';
 import type { ServiceBudgets } from './createServiceBudgets';
+import type { StartTimes } from './createStartTimes';
 import type { ServerProbes } from './createServerProbes';
 import type { StreamWatch } from './streamWatch';
 
@@ -38,6 +39,7 @@
   readonly budgets: ServiceBudgets;
   readonly probes: ServerProbes;
   readonly watch: StreamWatch;
+  readonly startTimes: StartTimes;
   readonly failureDomain: string;
   /** Time for which a leaving backend server still serves, milliseconds. */
   readonly drainMs: number;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -20,6 +20,7 @@
 import { elapsedMs } from '../catalog/confirmation';
 import { createServerBoard } from '../gateway/createServerBoard';
 import { createServerProbes } from '../gateway/createServerProbes';
+import { createStartTimes } from '../gateway/createStartTimes';
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createServiceBudgets } from '../gateway/createServiceBudgets';
 import type { GatewayHost, LogFields } from '../gateway/job';
@@ -87,7 +88,8 @@
   };
   const metrics = createGatewayMetrics();
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
-  const board = createServerBoard({ now, onBelief: write });
+  const startTimes = createStartTimes(now);
+  const board = createServerBoard({ now, startTimes, onBelief: write });
   const probes = createServerProbes({ board, protocol, now, log: write });
   const self: PeerRecord = {
     vm: settings.vm.name,
@@ -136,6 +138,7 @@
     }),
     probes,
     watch: createStreamWatch(board),
+    startTimes,
     failureDomain: self.failureDomain,
     drainMs: settings.servers.drain_ms,
     now,
