--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -1,7 +1,7 @@
 /**
  * Serves a request whose answer is delivered whole. One that may not repeat is sent again only on
  * proof that it has not run. One that may repeat is sent again after a failure, to no more servers
- * than the route allows, but more than once to a server that fails some requests and not others.
+ * than the route allows; a failure that a second server repeats is of the request, and is its answer.
  */
 
 import type { ListedServer } from '../../chains/layerEngine';
@@ -18,6 +18,9 @@
 /** When to come back after all servers were full or silent, milliseconds. */
 const RETRY_AFTER_MS = 250;
 
+/** Failed answers of different servers that show the failure to be of the request. */
+const CONFIRMED_FAILURES = 2;
+
 /** First status that says that the server failed. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -33,6 +36,7 @@
   const servers = new Set<string>();
   let failedBy: string | undefined;
   let fallback: ServerReply | undefined;
+  let failures = 0;
   let lastEnd: CallEnd = { type: 'not-run', detail: 'no server' };
   host.budgets.noteRequest(profile.name);
   for (let runs = 0; runs < MAX_RUNS && !job.isOver(); runs += 1) {
@@ -55,9 +59,12 @@
       host.board.rest(server.id, REST_MS);
       continue;
     }
-    if (end.type === 'answered') fallback = end.reply;
-    const isDone = end.type === 'answered' && end.reply.status < FIRST_FAILURE_STATUS;
-    if (isDone || !rule.isIdempotent) break;
+    if (end.type === 'answered') {
+      fallback = end.reply;
+      failures += 1;
+      if (end.reply.status < FIRST_FAILURE_STATUS || failures >= CONFIRMED_FAILURES) break;
+    }
+    if (!rule.isIdempotent) break;
   }
   if (!job.isOver()) finish(host, job, fallback, lastEnd);
 }
