Confirm the catalog by waits without a change; fewer store calls in large fleets

Now a wait that ends without a change confirms up to its end less a margin, changes are read together, and loads are blurred so that VMs with the same old picture choose different engines.

--- /dev/null
+++ b/src/adapters/gateway/followCatalog.ts
@@ -0,0 +1,82 @@
+/** Follows the catalog that operators publish, and until when it is known to be the newest. */
+
+import type { Catalog } from '../../catalog/catalog';
+import type { ClockReading } from '../../catalog/confirmation';
+import { elapsedMs } from '../../catalog/confirmation';
+import type { StoreRow } from '../../contracts/watchedStore';
+import type { StoreHealth } from '../../gateway/createStoreHealth';
+import type { LogFields } from '../../gateway/job';
+import { followTable } from './followTable';
+import type { FollowOptions } from './followTable';
+
+export interface FollowedCatalog {
+  /** Undefined before the first one is known. */
+  readonly current: () => Catalog | undefined;
+  /** It was known to be the newest at most so long ago, milliseconds. */
+  readonly isConfirmedWithin: (ageMs: number) => boolean;
+}
+
+export interface FollowCatalogOptions extends Pick<
+  FollowOptions,
+  'store' | 'table' | 'now' | 'random'
+> {
+  /** Undefined where the rows hold no catalog; throws where they hold one that is not valid. */
+  readonly decodeCatalog: (rows: ReadonlyMap<string, StoreRow>) => Catalog | undefined;
+  readonly onCatalog: (catalog: Catalog) => void;
+  readonly health: StoreHealth;
+  /** VMs that follow the catalog. */
+  readonly vms: () => number;
+  readonly log: (message: string, fields: LogFields) => void;
+}
+
+/** Longest waits for a change, milliseconds; confirmations are this much apart. */
+const WAIT_MS = 2_000;
+const LARGE_FLEET_WAIT_MS = 2_500;
+
+/** VMs from which the longer wait applies: each call more is made by all of them. */
+const LARGE_FLEET_VMS = 24;
+
+/** Pause after a change, milliseconds: changes come in bursts. */
+const SETTLE_MS = 60;
+
+/** Starts to follow. */
+export function followCatalog(options: FollowCatalogOptions): FollowedCatalog {
+  const { decodeCatalog, onCatalog, health, vms, log, now } = options;
+  const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
+  let catalog: Catalog | undefined;
+  let confirmedAt: ClockReading | undefined;
+
+  const decode = (rows: ReadonlyMap<string, StoreRow>): Catalog | undefined => {
+    try {
+      return decodeCatalog(rows);
+    } catch (error) {
+      // The catalog in force stays; one that cannot be read must not end the process.
+      log('catalog not readable', { error: String(error) });
+      return undefined;
+    }
+  };
+  followTable({
+    ...options,
+    waitMs: () => (vms() < LARGE_FLEET_VMS ? WAIT_MS : LARGE_FLEET_WAIT_MS),
+    settleMs: () => SETTLE_MS,
+    onRows: (rows) => {
+      const next = decode(rows);
+      if (next === undefined || (catalog !== undefined && next.version < catalog.version)) return;
+      catalog = next;
+      onCatalog(next);
+      log('catalog in force', { version: next.version, hosts: next.routes.size });
+    },
+    onContact: (knownMs) => {
+      const reading = clock();
+      const agoMs = reading.monotonicMs - knownMs;
+      confirmedAt = { monotonicMs: knownMs, wallMs: reading.wallMs - agoMs };
+      health.succeeded();
+    },
+    onTrouble: health.failed,
+  });
+  return {
+    current: () => catalog,
+    isConfirmedWithin: (ageMs) =>
+      confirmedAt !== undefined && elapsedMs(confirmedAt, clock()) < ageMs,
+  };
+}
--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -13,7 +13,7 @@
 
 export interface FollowServersOptions extends Pick<
   FollowOptions,
-  'store' | 'table' | 'now' | 'random'
+  'store' | 'table' | 'settleMs' | 'now' | 'random'
 > {
   /** Undefined where the row names no backend server. */
   readonly decodeServer: (row: StoreRow) => ListedServer | undefined;
@@ -25,9 +25,6 @@
 /** Longest wait for a change, milliseconds; a silent connection is noticed soon after. */
 const WAIT_MS = 4_000;
 
-/** Pause after a change, milliseconds: servers of one event write within it. */
-const SETTLE_MS = 60;
-
 /** Time for which vanished entries are kept after the store was away, milliseconds. */
 const RELIST_MS = 1_700;
 
@@ -52,8 +49,7 @@
   };
   followTable({
     ...options,
-    waitMs: WAIT_MS,
-    settleMs: SETTLE_MS,
+    waitMs: () => WAIT_MS,
     onRows: (next) => {
       for (const [id, row] of rows) if (!next.has(id)) noteVanished(id, row);
       if (vanished.size > 0) setTimeout(relist, RELIST_MS);
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -1,18 +1,19 @@
 /** Follows one table of the store: reads it once, then waits for changes, for as long as the VM runs. */
 
+import { quietUntil } from '../../catalog/confirmation';
 import type { StoreRow, TableRead, WatchedStore } from '../../contracts/watchedStore';
 
 export interface FollowOptions {
   readonly store: WatchedStore;
   readonly table: string;
   /** Longest wait for a change, milliseconds; also how soon a silent connection is noticed. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
   /** Pause after a change, so that changes in quick succession come together, milliseconds. */
-  readonly settleMs: number;
+  readonly settleMs: () => number;
   /** All rows, after every change. */
   readonly onRows: (rows: ReadonlyMap<string, StoreRow>) => void;
-  /** Called with a token from `mark`, taken when a call that succeeded was sent. */
-  readonly onContact: (sentMs: number) => void;
+  /** Called after each answer with the time for which the rows are known, monotonic, milliseconds. */
+  readonly onContact: (knownMs: number) => void;
   readonly onTrouble: (detail: string) => void;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
@@ -44,21 +45,23 @@
   };
   const step = async (): Promise<number> => {
     const sentMs = now();
+    const wantedMs = waitMs();
     const result =
-      version === undefined ? await store.read(table) : await store.watch(table, version, waitMs);
+      version === undefined ? await store.read(table) : await store.watch(table, version, wantedMs);
     if (result.type === 'unavailable') {
       options.onTrouble(result.detail);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
       return backoffMs * (0.5 + options.random());
     }
-    options.onContact(sentMs);
+    const isQuiet = version !== undefined && result.type === 'rows' && result.rows.length === 0;
+    options.onContact(isQuiet ? quietUntil(sentMs, wantedMs) : sentMs);
     backoffMs = FIRST_BACKOFF_MS;
     if (result.type === 'history-gone') {
       version = undefined;
       return 0;
     }
     take(result);
-    return result.rows.length > 0 ? settleMs : 0;
+    return result.rows.length > 0 ? settleMs() : 0;
   };
   const run = async (): Promise<void> => {
     for (;;) {
@@ -66,5 +69,6 @@
       if (pauseMs > 0) await new Promise((resolve) => setTimeout(resolve, pauseMs));
     }
   };
-  void run();
+  // The caller may still be wiring what the callbacks reach.
+  setImmediate(() => void run());
 }
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -3,6 +3,7 @@
  * has, so that the caller sees one stream with every event once.
  */
 
+import { blurLoads } from '../../chains/blurLoads';
 import { crossingCost } from '../../chains/crossingCost';
 import { findChain } from '../../chains/findChain';
 import type { Stage } from '../../chains/layerEngine';
@@ -151,7 +152,7 @@
     return [{ id: server.id, address: server.address, layers: { from: 0, to: 0 } }];
   }
   return findChain({
-    engines: board.chainEngines(name, model),
+    engines: blurLoads(board.chainEngines(name, model), host.vms(), host.random),
     layers: { from: 0, to: model.layers },
     tokens,
     fromDomain: host.failureDomain,
--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -1,6 +1,6 @@
 import { authorize } from './authorize';
 import type { Catalog, RouteRule } from './catalog';
-import { elapsedMs } from './confirmation';
+import { elapsedMs, quietUntil } from './confirmation';
 import { matchRoute } from './matchRoute';
 import { pickService } from './pickService';
 
@@ -98,3 +98,10 @@
     expect(elapsedMs(since, { monotonicMs: 4_000, wallMs: 48_000 })).toBe(3_000);
   });
 });
+
+describe('quietUntil', () => {
+  it('counts the wait, less the time for which changes may be kept back', () => {
+    expect(quietUntil(10_000, 2_500)).toBe(11_500);
+    expect(quietUntil(10_000, 600)).toBe(10_000);
+  });
+});
--- a/src/catalog/confirmation.ts
+++ b/src/catalog/confirmation.ts
@@ -12,6 +12,21 @@
   readonly wallMs: number;
 }
 
+/** Time for which a store that is about to drop its history may keep changes back, milliseconds. */
+const WITHHELD_MS = 1_000;
+
+/**
+ * A wait for changes that ended without one says that there was none until shortly before its end,
+ * since the store does not answer earlier without a change.
+ *
+ * @param sentMs when the wait was asked for, monotonic, milliseconds
+ * @param waitMs how long the store was to wait, milliseconds
+ * @returns the time until which there was no change, monotonic, milliseconds
+ */
+export function quietUntil(sentMs: number, waitMs: number): number {
+  return sentMs + Math.max(0, waitMs - WITHHELD_MS);
+}
+
 /**
  * Time since a reading. A suspended VM's monotonic clock stands still while its wall clock goes on,
  * so the larger of the two differences counts.
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -43,6 +43,8 @@
   readonly failureDomain: string;
   /** Time for which a leaving backend server still serves, milliseconds. */
   readonly drainMs: number;
+  /** VMs that choose among the same backend servers. */
+  readonly vms: () => number;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   /** Uniform in [0, 1). */
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -13,11 +13,10 @@
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createPlacer } from '../adapters/gateway/createPlacer';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
+import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
 import { followTable } from '../adapters/gateway/followTable';
 import type { Catalog } from '../catalog/catalog';
-import type { ClockReading } from '../catalog/confirmation';
-import { elapsedMs } from '../catalog/confirmation';
 import { createServerBoard } from '../gateway/createServerBoard';
 import { createServerProbes } from '../gateway/createServerProbes';
 import { createStartTimes } from '../gateway/createStartTimes';
@@ -26,11 +25,13 @@
 import type { GatewayHost, LogFields } from '../gateway/job';
 import { chooseAddresses } from '../peers/listLivePeers';
 import type { PeerRecord } from '../peers/peer';
+import { settleTime } from '../peers/settleTime';
 import { createGatewayMetrics } from './createGatewayMetrics';
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
 import { openSideListeners } from './openSideListeners';
 import { parsePeerRecord } from './parsePeerRecord';
+import { waitUntil } from './waitUntil';
 import type { GatewaySettings } from './gatewaySettings';
 
 export interface GatewayDaemon {
@@ -39,14 +40,9 @@
   readonly reload: (settings: GatewaySettings) => void;
 }
 
-/** Longest waits for changes, milliseconds. */
-const CATALOG_WAIT_MS = 1_500;
+/** Longest wait for a change of the VMs' own table, milliseconds. */
 const OWN_WAIT_MS = 8_000;
 
-/** Pauses after changes, milliseconds: changes come in bursts. */
-const CATALOG_SETTLE_MS = 60;
-const OWN_SETTLE_MS = 60;
-
 /** Part of the time in which a credential must be gone that may pass without confirmation. */
 const CONFIRMED_SHARE = 0.85;
 
@@ -77,7 +73,6 @@
   let settings = initial;
   const { store, protocol } = platform;
   const now = (): number => performance.now();
-  const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
   const log = createEventLog({
     vm: settings.vm.name,
     output: (line) => process.stdout.write(`${line}\n`),
@@ -100,14 +95,22 @@
   };
   write('started', { incarnation: self.incarnation, pid: process.pid });
 
-  let catalog: Catalog | undefined;
-  let confirmedAt: ClockReading | undefined;
   let stoppingMs: number | undefined;
+  const health = createStoreHealth(now, write);
+  const common = { store, health, log: write, now, random: Math.random };
+  const published = followCatalog({
+    ...common,
+    table: platform.catalogTable,
+    decodeCatalog: platform.decodeCatalog,
+    onCatalog: (catalog) => {
+      applyLimits(callers, catalog);
+    },
+    vms: () => peers.size(),
+  });
   const isConfirmed = (): boolean =>
-    confirmedAt !== undefined &&
-    elapsedMs(confirmedAt, clock()) < settings.credentials.revoke_ms * CONFIRMED_SHARE;
+    published.isConfirmedWithin(settings.credentials.revoke_ms * CONFIRMED_SHARE);
   const isAccepting = (): boolean =>
-    stoppingMs === undefined && catalog !== undefined && isConfirmed();
+    stoppingMs === undefined && published.current() !== undefined && isConfirmed();
   const isClosing = (): boolean =>
     stoppingMs !== undefined && now() - stoppingMs > CLOSING_AFTER_MS;
 
@@ -139,6 +142,7 @@
     probes,
     watch: createStreamWatch(board),
     startTimes,
+    vms: peers.size,
     failureDomain: self.failureDomain,
     drainMs: settings.servers.drain_ms,
     now,
@@ -149,13 +153,13 @@
   };
   const gateway = createGateway({
     host,
-    catalog: () => catalog,
+    catalog: published.current,
     isConfirmed,
     isClosing,
     isDraining: () => stoppingMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
   });
-  const placer = createPlacer({ board, protocol, catalog: () => catalog, now, log: write });
+  const placer = createPlacer({ board, protocol, catalog: published.current, now, log: write });
   const seat = createExecutorSeat({
     store,
     table: platform.ownTable,
@@ -164,43 +168,19 @@
     log: write,
   });
 
-  const health = createStoreHealth(now, write);
-  const common = { store, now, random: Math.random };
-  followTable({
-    ...common,
-    table: platform.catalogTable,
-    waitMs: CATALOG_WAIT_MS,
-    settleMs: CATALOG_SETTLE_MS,
-    onRows: (rows) => {
-      const next = platform.decodeCatalog(rows);
-      if (next === undefined || (catalog !== undefined && next.version < catalog.version)) return;
-      catalog = next;
-      applyLimits(callers, next);
-      write('catalog in force', { version: next.version, routes: next.routes.size });
-    },
-    onContact: (sentMs) => {
-      const reading = clock();
-      const agoMs = reading.monotonicMs - sentMs;
-      confirmedAt = { monotonicMs: sentMs, wallMs: reading.wallMs - agoMs };
-      health.succeeded();
-    },
-    onTrouble: health.failed,
-  });
-
   followServers({
     ...common,
     table: platform.serverTable,
+    settleMs: () => settleTime(peers.size()),
     decodeServer: platform.decodeServer,
     board,
-    health,
-    log: write,
   });
   let isRegistered = false;
   followTable({
     ...common,
     table: platform.ownTable,
-    waitMs: OWN_WAIT_MS,
-    settleMs: OWN_SETTLE_MS,
+    waitMs: () => OWN_WAIT_MS,
+    settleMs: () => settleTime(peers.size()),
     onRows: (rows) => {
       const records = [...rows.values()].flatMap((row) =>
         row.key.startsWith(PEER_PREFIX) ? (parsePeerRecord(row.value) ?? []) : [],
@@ -221,8 +201,11 @@
   void register();
 
   let dutyCount = 0;
+  let wasAccepting = false;
   const duty = setInterval(() => {
     dutyCount += 1;
+    if (wasAccepting !== isAccepting()) peers.announce();
+    wasAccepting = isAccepting();
     if (board.suspicions().length > 0) probes.recheck();
     if (stoppingMs !== undefined) return;
     if (!isRegistered && dutyCount % 8 === 0) void register();
@@ -265,11 +248,12 @@
         store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value: undefined }]),
       ]);
       const endMs = stoppingMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
-      const isDone = (): boolean => isClosing() && gateway.active() === 0;
-      while (!isDone() && now() < endMs) {
-        await new Promise((resolve) => setTimeout(resolve, 50));
-        callers.closeIdleConnections();
-      }
+      await waitUntil(
+        () => now() >= endMs || (isClosing() && gateway.active() === 0),
+        () => {
+          callers.closeIdleConnections();
+        },
+      );
       clearInterval(duty);
       peers.close();
       for (const server of [callers, ...others]) server.close();
