--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -57,6 +57,7 @@
     stages: [],
     lastEventId: job.head.lastEventId,
   });
+  job.noteSent();
   const exchange = openExchange(
     { address: server.address, method: job.method, path: job.path, headers, body: job.body },
     {
@@ -81,8 +82,8 @@
 
 async function readEnd(host: GatewayHost, job: Job, reply: IncomingMessage): Promise<CallEnd> {
   const { protocol } = host;
-  const head = protocol.readReply(reply.headers);
   const status = reply.statusCode ?? 0;
+  const head = protocol.readReply(status, reply.headers);
   if (head.isNotRun) {
     reply.destroy();
     return { type: 'not-run', detail: `status ${status}` };
--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -130,7 +130,7 @@
       tookMs: Math.round(host.now() - job.arrivedMs),
       hasBegun: job.response.headersSent,
     });
-    refuseJob(job.response, 'expired', host.protocol);
+    refuseJob(job.response, job.wasSent() ? 'expired' : 'expired-not-run', host.protocol);
   };
 
   interface Accepted {
@@ -144,6 +144,7 @@
 
   const createJob = (accepted: Accepted): Job => {
     const { request, response, rule, profile, arrivedMs, body } = accepted;
+    let isSent = false;
     const head = host.protocol.readRequest(request.headers);
     const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, rule.timeoutMs);
     return {
@@ -159,6 +160,10 @@
       response,
       arrivedMs,
       expiresMs: arrivedMs + Math.max(1, limitMs - EXPIRY_MARGIN_MS),
+      noteSent: () => {
+        isSent = true;
+      },
+      wasSent: () => isSent,
       isOver: () => response.writableEnded || response.destroyed,
       onGone: (listener) => {
         response.once('close', listener);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -140,9 +140,9 @@
     });
   };
   const takeReply = (reply: IncomingMessage): void => {
-    const head = protocol.readReply(reply.headers);
     const status = reply.statusCode ?? 0;
-    if (head.isNotRun || status === 421) {
+    const head = protocol.readReply(status, reply.headers);
+    if (head.isNotRun) {
       reply.destroy();
       settle({ type: 'not-run', fault: head.faultAddress, detail: `status ${status}` });
       return;
@@ -215,6 +215,7 @@
     stages: model === undefined ? [] : options.stages,
     lastEventId: progress.lastEventId,
   });
+  job.noteSent();
   const exchange = openExchange(
     { address: entry.address, method: job.method, path: job.path, headers, body: job.body },
     {
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -88,7 +88,7 @@
     headers: IncomingHttpHeaders,
     forwarding: Forwarding,
   ) => OutgoingHttpHeaders;
-  readonly readReply: (headers: IncomingHttpHeaders) => ReplyHead;
+  readonly readReply: (status: number, headers: IncomingHttpHeaders) => ReplyHead;
   /** The reply's headers without those that concern one connection only. */
   readonly replyHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
   /** Headers of a refusal; `retryAfterMs` says when to come back. */
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -25,6 +25,10 @@
   readonly arrivedMs: number;
   /** When the caller's deadline or the route's timeout ends it, monotonic, milliseconds. */
   readonly expiresMs: number;
+  /** Notes that a server may have the request from now on. */
+  readonly noteSent: () => void;
+  /** A server may have had the request. */
+  readonly wasSent: () => boolean;
   /** The caller left, or its answer is over. */
   readonly isOver: () => boolean;
   /** Called once, when the caller leaves before its answer is over. */
