--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -90,8 +90,16 @@
     if (blamed !== undefined) board.rest(blamed.id, REPAIR_REST_MS);
     else if (status === NO_SUCH_RUN && options.hasEvents()) options.onBroken('run is gone');
   };
-  const repair = async (lost: ReadonlySet<string>, cause: string): Promise<void> => {
+  /** Engines of the chain that are suspected, or that the first engine waits for. */
+  const findLost = (waitedFor: ReadonlySet<string>): ReadonlySet<string> => {
+    const suspected = new Set(board.suspicions().map(({ id }) => id));
+    const lost = stages.filter(({ id, address }) => suspected.has(id) || waitedFor.has(address));
+    return new Set(lost.map(({ id }) => id));
+  };
+  const repair = async (blamed: ReadonlySet<string>, cause: string): Promise<void> => {
     if (isOver() || isRepairing || model === undefined || entry === undefined) return;
+    // A path that still names another lost engine is rejected as a whole.
+    const lost = new Set([...blamed, ...findLost(new Set())]);
     if (lost.has(entry.id)) {
       options.onBroken(cause);
       return;
@@ -111,12 +119,6 @@
     isRepairing = false;
     if (!isOver()) takeResult(path, result);
   };
-  /** Engines of the chain that are suspected, or that the first engine waits for. */
-  const findLost = (waitedFor: ReadonlySet<string>): ReadonlySet<string> => {
-    const suspected = new Set(board.suspicions().map(({ id }) => id));
-    const lost = stages.filter(({ id, address }) => suspected.has(id) || waitedFor.has(address));
-    return new Set(lost.map(({ id }) => id));
-  };
   return {
     includes: (server) => stages.some(({ id }) => id === server),
     repair,
