--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -6,7 +6,7 @@
 
 import type { Catalog } from '../../catalog/catalog';
 import type { PipelineModel } from '../../chains/pipelineModel';
-import type { LayerOrder, PlacementCandidate } from '../../chains/planLayers';
+import type { LayerOrder, PlacementCandidate } from '../../chains/placementCandidate';
 import { planLayers } from '../../chains/planLayers';
 import type { ListedServer } from '../../chains/layerEngine';
 import type { BackendProtocol, EngineReport } from '../../gateway/backendProtocol';
--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -27,7 +27,7 @@
   services: new Map(),
   credentials: new Map([['k1', { workspace: 'shop-1', priority: 2 }]]),
   hasWorkspaces: true,
-  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
 describe('matchRoute', () => {
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -43,8 +43,6 @@
 
 export interface ServiceProfile {
   readonly name: string;
-  /** Connections that one backend server accepts from all VMs together. */
-  readonly maxConnections: number;
   /** Set where the service is a model cut into layers. */
   readonly model: PipelineModel | undefined;
 }
@@ -57,7 +55,6 @@
 
 /** Bounds on what a caller may send and how slowly. */
 export interface CallerLimits {
-  readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
   readonly headerTimeoutMs: number;
   readonly idleTimeoutMs: number;
--- a/src/chains/pipelineModel.ts
+++ b/src/chains/pipelineModel.ts
@@ -7,8 +7,6 @@
   readonly memoryMb: number;
   /** Time of a decoding step against the reference kind. */
   readonly stepFactor: number;
-  /** Time of reading a prompt against the reference kind. */
-  readonly readFactor: number;
 }
 
 /** Figures of the reference kind where it runs all layers. */
@@ -21,20 +19,12 @@
   readonly tokenLayerMb: number;
   /** Fixed part of a decoding step, milliseconds. */
   readonly stepMs: number;
-  /** Part of a step for each request that is decoding, milliseconds. */
-  readonly sequenceMs: number;
-  /** Part of a step for each 1,000 tokens of context of a decoding request, milliseconds. */
-  readonly contextMsPerK: number;
-  /** Prompt tokens read in a millisecond. */
-  readonly readTokensPerMs: number;
   /** Mean tokens of a prompt. */
   readonly usualPromptTokens: number;
   /** Mean tokens of an answer. */
   readonly usualAnswerTokens: number;
   /** Time to load all layers onto one engine, milliseconds. */
   readonly loadMs: number;
-  /** Loads that run at full rate side by side. */
-  readonly parallelLoads: number;
   /** One-way delay between two failure domains, milliseconds. */
   readonly domainDelayMs: number;
   /** Activations of one token between two engines, bytes. */
--- a/src/chains/planLayers.test.ts
+++ b/src/chains/planLayers.test.ts
@@ -1,4 +1,4 @@
-import type { PlacementCandidate } from './planLayers';
+import type { PlacementCandidate } from './placementCandidate';
 import { planLayers } from './planLayers';
 import { testModel } from './testModel';
 
