--- /dev/null
+++ b/src/node/gatewaySettings.test.ts
@@ -0,0 +1,47 @@
+import { parseGatewaySettings } from './gatewaySettings';
+
+const valid = `
+[vm]
+name = "front-1"
+failure_domain = "a"
+region = "r"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+directory = "10.0.0.1:82"
+peers = "10.0.0.1:83"
+metrics = "10.0.0.1:84"
+[store]
+address = "10.0.0.9:90"
+[drain]
+grace_s = 8.5
+[servers]
+drain_ms = 2000
+[credentials]
+revoke_ms = 5000
+[retries]
+ratio = 0.2
+extra = 196
+window_s = 10
+[directory]
+max_validity_s = 5
+`;
+
+describe('parseGatewaySettings', () => {
+  it('reads a whole file', () => {
+    expect(parseGatewaySettings(valid)).toMatchObject({
+      vm: { name: 'front-1', failure_domain: 'a' },
+      drain: { grace_s: 8.5 },
+    });
+  });
+
+  it('names every mistake at once', () => {
+    const wrong = valid
+      .replace('"10.0.0.9:90"', '"store"')
+      .replace('revoke_ms = 5000', '')
+      .replace('window_s = 10', 'window_s = 0');
+    expect(() => parseGatewaySettings(wrong)).toThrow(
+      /store\.address.*credentials\.revoke_ms.*retries\.window_s/,
+    );
+  });
+});
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -37,7 +37,8 @@
 export interface GatewayDaemon {
   /** Stops taking requests, ends what runs, and resolves when the process may exit. */
   readonly drain: () => Promise<void>;
-  readonly reload: (settings: GatewaySettings) => void;
+  /** Reads the settings again; those in force stay where they cannot be read. */
+  readonly reload: (read: () => GatewaySettings) => void;
 }
 
 /** Longest wait for a change of the VMs' own table, milliseconds. */
@@ -235,9 +236,13 @@
   });
 
   return {
-    reload: (next) => {
-      settings = next;
-      write('settings reloaded', {});
+    reload: (read) => {
+      try {
+        settings = read();
+        write('settings reloaded', {});
+      } catch (error) {
+        write('settings not readable', { error: String(error) });
+      }
     },
     drain: async () => {
       stoppingMs = now();
