--- a/src/chains/findChain.test.ts
+++ b/src/chains/findChain.test.ts
@@ -90,6 +90,14 @@
     expect(pathOf(search([slow]))).toBe('x 0-8');
   });
 
+  it('turns to slow engines before a fast one has no memory left', () => {
+    const fast = (share: number): ChainEngine =>
+      engine('x', 0, 8, { layerStepMs: 0.01, reserved: share * 100_000 });
+    const slow = engine('y', 0, 8);
+    expect(pathOf(search([fast(0.6), slow]))).toBe('x 0-8');
+    expect(pathOf(search([fast(0.9), slow]))).toBe('y 0-8');
+  });
+
   it('replaces a part in the middle without taking a place for entries', () => {
     const taken = engine('x', 0, 8, { entered: 10 });
     const middle = search([taken], { layers: { from: 2, to: 4 }, isEntry: false });
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -44,6 +44,12 @@
 /** Cost of one more stage, milliseconds: the hop between two engines of a failure domain. */
 const STAGE_MS = 0.2;
 
+/** Share of an engine's memory from which its use gets dear, however fast the engine is. */
+const CROWDED_SHARE = 0.7;
+
+/** Cost of crowding, in steps of the slowest engine, for the square of the share beyond. */
+const CROWDED_FACTOR = 60;
+
 /** How much a full engine's step costs against an empty one's. */
 const LOAD_FACTOR = 6;
 
@@ -66,6 +72,7 @@
       !excluded.has(engine.id) && engine.layers.to > layers.from && engine.layers.from < layers.to,
   );
   const cuts = listCuts(usable, layers);
+  const slowestMs = Math.max(0, ...usable.map(({ layerStepMs }) => layerStepMs));
   const reached = new Map<number, Map<string, Reached>>();
   const start: Reached = {
     costMs: 0,
@@ -81,7 +88,7 @@
     for (const engine of usable) {
       if (engine.layers.from > position || engine.layers.to <= position) continue;
       if (position === layers.from && search.isEntry && !isOpen(engine, maxStartMs)) continue;
-      extend({ search, engine, position, states, cuts, reached, maxStages });
+      extend({ search, engine, position, states, cuts, reached, maxStages, slowestMs });
     }
   }
   const ends = [...(reached.get(layers.to)?.values() ?? [])];
@@ -100,6 +107,8 @@
   readonly cuts: readonly number[];
   readonly reached: Map<number, Map<string, Reached>>;
   readonly maxStages: number;
+  /** Step time of a layer on the slowest engine, milliseconds. */
+  readonly slowestMs: number;
 }
 
 /** Notes the ways on from a position through one engine, to each cut that it reaches. */
@@ -115,7 +124,7 @@
     for (const to of cuts) {
       if (to <= position) continue;
       if (to > end) break;
-      const stepMs = stepCost(engine, to - position, search.tokens);
+      const stepMs = stepCost(engine, to - position, search.tokens, extension.slowestMs);
       if (stepMs === undefined) break;
       const costMs = state.costMs + STAGE_MS + delayMs + stepMs;
       const there = reached.get(to) ?? new Map<string, Reached>();
@@ -139,11 +148,21 @@
   return false;
 }
 
-/** Milliseconds for a part of an engine's layers; undefined where the request does not fit. */
-function stepCost(engine: ChainEngine, layers: number, tokens: number): number | undefined {
+/**
+ * Milliseconds for a part of an engine's layers; undefined where the request does not fit. A fast engine
+ * stays cheap until it is full, so crowding is priced apart from its speed: an engine without memory
+ * turns requests away or puts them back.
+ */
+function stepCost(
+  engine: ChainEngine,
+  layers: number,
+  tokens: number,
+  slowestMs: number,
+): number | undefined {
   const share = (engine.reserved + layers * tokens) / engine.capacity;
   if (share > FULL_SHARE) return undefined;
-  return layers * engine.layerStepMs * (1 + LOAD_FACTOR * share * share);
+  const crowdedMs = slowestMs * CROWDED_FACTOR * Math.max(0, share - CROWDED_SHARE) ** 2;
+  return layers * (engine.layerStepMs * (1 + LOAD_FACTOR * share * share) + crowdedMs);
 }
 
 /** Every layer at which a part may begin or end, ascending. */
