--- a/src/gateway/createServiceBudgets.ts
+++ b/src/gateway/createServiceBudgets.ts
@@ -17,19 +17,31 @@
   readonly vms: () => number;
 }
 
-/** Creates full budgets. */
+/** Part of the allowance that counts as spent at the start; the rest fits beside a full window. */
+const SPENT_AT_START = 0.65;
+
+/**
+ * Creates the budgets. Most of the allowance beyond a share of the requests counts as spent at the
+ * start: the life before may have spent it within the same window, and many VMs start together after an
+ * outage.
+ */
 export function createServiceBudgets(options: ServiceBudgetOptions): ServiceBudgets {
   const { limits, now, vms } = options;
   const budgets = new Map<string, RetryBudget>();
+  const startedMs = now();
+  const budgetOf = (service: string): RetryBudget => {
+    const spent = (limits.extra * SPENT_AT_START) / Math.max(1, vms());
+    return budgets.get(service) ?? [{ startMs: startedMs, requests: 0, retries: spent }];
+  };
   const note = (service: string, entry: 'requests' | 'retries'): void => {
-    budgets.set(service, noteRetryBudget(budgets.get(service) ?? [], entry, now(), limits));
+    budgets.set(service, noteRetryBudget(budgetOf(service), entry, now(), limits));
   };
   return {
     noteRequest: (service) => {
       note(service, 'requests');
     },
     takeRetry: (service) => {
-      if (!allowsRetry(budgets.get(service) ?? [], vms(), limits)) return false;
+      if (!allowsRetry(budgetOf(service), now(), vms(), limits)) return false;
       note(service, 'retries');
       return true;
     },
--- a/src/gateway/retryBudget.test.ts
+++ b/src/gateway/retryBudget.test.ts
@@ -11,19 +11,21 @@
 
 describe('allowsRetry', () => {
   it('allows the extra of an idle service, shared between the VMs', () => {
-    expect(allowsRetry([], 1, limits)).toBe(true);
-    expect(allowsRetry(note([], 'retries', 7, 0), 1, limits)).toBe(true);
-    expect(allowsRetry(note([], 'retries', 8, 0), 1, limits)).toBe(false);
-    expect(allowsRetry(note([], 'retries', 4, 0), 2, limits)).toBe(false);
+    expect(allowsRetry([], 0, 1, limits)).toBe(true);
+    expect(allowsRetry(note([], 'retries', 7, 0), 0, 1, limits)).toBe(true);
+    expect(allowsRetry(note([], 'retries', 8, 0), 0, 1, limits)).toBe(false);
+    expect(allowsRetry(note([], 'retries', 4, 0), 0, 2, limits)).toBe(false);
   });
 
   it('grows with the requests', () => {
     const busy = note(note([], 'requests', 100, 0), 'retries', 20, 100);
-    expect(allowsRetry(busy, 1, limits)).toBe(true);
+    expect(allowsRetry(busy, 100, 1, limits)).toBe(true);
   });
 
   it('forgets what has left the window', () => {
     const spent = note([], 'retries', 8, 0);
-    expect(allowsRetry(noteRetryBudget(spent, 'requests', 10_600, limits), 1, limits)).toBe(true);
+    expect(allowsRetry(noteRetryBudget(spent, 'requests', 10_600, limits), 10_600, 1, limits)).toBe(
+      true,
+    );
   });
 });
--- a/src/gateway/retryBudget.ts
+++ b/src/gateway/retryBudget.ts
@@ -34,24 +34,40 @@
   budget: RetryBudget,
   entry: Entry,
   nowMs: number,
-  { windowMs }: RetryBudgetLimits,
+  limits: RetryBudgetLimits,
 ): RetryBudget {
+  const { windowMs } = limits;
   const last = budget.at(-1);
   const isOpen = last !== undefined && nowMs - last.startMs < windowMs / INTERVALS;
   const current = isOpen ? last : { startMs: nowMs, requests: 0, retries: 0 };
   const earlier = isOpen ? budget.slice(0, -1) : budget;
-  const kept = earlier.filter(({ startMs }) => nowMs - startMs < windowMs * (1 + 1 / INTERVALS));
-  return [...kept, { ...current, [entry]: current[entry] + 1 }];
+  return [...pruneBudget(earlier, nowMs, limits), { ...current, [entry]: current[entry] + 1 }];
 }
 
 /**
  * @param budget what happened so far
+ * @param nowMs monotonic, milliseconds
  * @param vms VMs that share the bound
  * @returns whether one more retry keeps to the bound
  */
-export function allowsRetry(budget: RetryBudget, vms: number, limits: RetryBudgetLimits): boolean {
-  const requests = budget.reduce((sum, interval) => sum + interval.requests, 0);
-  const retries = budget.reduce((sum, interval) => sum + interval.retries, 0);
+export function allowsRetry(
+  budget: RetryBudget,
+  nowMs: number,
+  vms: number,
+  limits: RetryBudgetLimits,
+): boolean {
+  const recent = pruneBudget(budget, nowMs, limits);
+  const requests = recent.reduce((sum, interval) => sum + interval.requests, 0);
+  const retries = recent.reduce((sum, interval) => sum + interval.retries, 0);
   const bound = limits.ratio * requests + limits.extra / Math.max(1, vms);
   return retries + 1 <= bound * USED_SHARE;
 }
+
+/** Drops what has left every window that ends now. */
+function pruneBudget(
+  budget: RetryBudget,
+  nowMs: number,
+  { windowMs }: RetryBudgetLimits,
+): RetryBudget {
+  return budget.filter(({ startMs }) => nowMs - startMs < windowMs * (1 + 1 / INTERVALS));
+}
