--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -68,26 +68,27 @@
       [...pending].filter(([id, order]) => now() < order.dueMs && !isListed(order, board.find(id))),
     );
   };
-  const hold = (id: string, forMs: number): void => {
+  /** Plans the engine anew after a while, whatever became of its order. */
+  const planAgainAfter = (id: string, forMs: number): void => {
     const order = pending.get(id);
     if (order !== undefined) pending.set(id, { ...order, dueMs: now() + forMs });
   };
-  /** Engines that were told something before count their orders; a fresh one has none. */
+  /** Undefined where the engine does not answer. */
   const reportOf = async (server: ListedServer): Promise<EngineReport | undefined> => {
     const result = await protocol.fetchReport(server.address);
     return result.type === 'report' ? result.report : undefined;
   };
   const carryOut = async (server: ListedServer, order: LayerOrder): Promise<void> => {
     const report = await reportOf(server);
-    const isUntouched = report !== undefined && !report.isBusy && report.bornMs === server.bornMs;
-    const isHeld = report?.layers?.from === server.layers?.from;
-    if (!isUntouched || !isHeld) {
+    const isIdle = report !== undefined && !report.isBusy && report.bornMs === server.bornMs;
+    const isAsListed = report?.layers?.from === server.layers?.from;
+    if (!isIdle || !isAsListed) {
       log('order held back', {
         server: order.id,
         isBusy: report?.isBusy,
         answers: report !== undefined,
       });
-      hold(order.id, FAILED_ORDER_MS);
+      planAgainAfter(order.id, FAILED_ORDER_MS);
       return;
     }
     const result = await protocol.placeLayers(server.address, order.layers, report.orders);
@@ -101,7 +102,7 @@
       result: result.type,
       status: result.type === 'rejected' ? result.status : undefined,
     });
-    if (result.type !== 'accepted') hold(order.id, FAILED_ORDER_MS);
+    if (result.type !== 'accepted') planAgainAfter(order.id, FAILED_ORDER_MS);
   };
   const toCandidate = (
     server: ListedServer,
