--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -59,6 +59,12 @@
 /** Time between looks at the placement and at suspected servers, milliseconds. */
 const DUTY_INTERVAL_MS = 250;
 
+/** Looks between two tries to register, two seconds: a store that is away is not pressed. */
+const REGISTER_DUTIES = 8;
+
+/** Looks between two removals of departed VMs, ten seconds: nothing waits for them. */
+const CLEANUP_DUTIES = 40;
+
 /** From the request to stop until new requests are refused: three validities, as callers may keep. */
 const CLOSING_AFTER_MS = 3 * ADDRESS_VALID_MS;
 
@@ -209,10 +215,10 @@
     wasAccepting = isAccepting();
     if (board.suspicions().length > 0) probes.recheck();
     if (stoppingMs !== undefined) return;
-    if (!isRegistered && dutyCount % 8 === 0) void register();
+    if (!isRegistered && dutyCount % REGISTER_DUTIES === 0) void register();
     if (seat.tick(peers.live()) && health.isFresh()) {
       placer.tick();
-      if (dutyCount % 40 === 0) void removeDeparted();
+      if (dutyCount % CLEANUP_DUTIES === 0) void removeDeparted();
     }
   }, DUTY_INTERVAL_MS);
   const removeDeparted = async (): Promise<void> => {
