--- a/src/adapters/gateway/createWaitingRoom.ts
+++ b/src/adapters/gateway/createAdmissionQueue.ts
@@ -3,7 +3,7 @@
  * arrival, for as long as a first event in time is still possible; then they are told to come back.
  */
 
-export interface WaitingRoom {
+export interface AdmissionQueue {
   /**
    * Waits for a change on the board.
    *
@@ -27,7 +27,7 @@
 /**
  * @param now monotonic clock, milliseconds
  */
-export function createWaitingRoom(now: () => number): WaitingRoom {
+export function createAdmissionQueue(now: () => number): AdmissionQueue {
   let waiters: readonly Waiter[] = [];
   const remove = (waiter: Waiter): void => {
     waiters = waiters.filter((other) => other !== waiter);
--- a/src/adapters/gateway/createExecutorSeat.ts
+++ b/src/adapters/gateway/createExecutorClaim.ts
@@ -6,14 +6,14 @@
 import type { ExecutorRow } from '../../placing/electExecutor';
 import type { PeerRecord } from '../../peers/peer';
 
-export interface ExecutorSeat {
+export interface ExecutorClaim {
   /** @returns whether this VM is the executor now */
   readonly tick: (live: readonly PeerRecord[]) => boolean;
   readonly learnRow: (row: StoreRow | undefined) => void;
   readonly giveUp: () => Promise<void>;
 }
 
-export interface ExecutorSeatOptions {
+export interface ExecutorClaimOptions {
   readonly store: WatchedStore;
   readonly table: string;
   readonly key: string;
@@ -21,8 +21,8 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Creates a seat that is not held. */
-export function createExecutorSeat(options: ExecutorSeatOptions): ExecutorSeat {
+/** Creates a claim that is not held. */
+export function createExecutorClaim(options: ExecutorClaimOptions): ExecutorClaim {
   const { store, table, key, self, log } = options;
   let row: ExecutorRow | undefined;
   let isAsking = false;
--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -10,7 +10,7 @@
 import { matchRoute } from '../../catalog/matchRoute';
 import { pickService } from '../../catalog/pickService';
 import { createCallHistory } from '../../gateway/createCallHistory';
-import { createWaitingRoom } from './createWaitingRoom';
+import { createAdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { readRequestBody } from './readRequestBody';
 import { refuseJob } from './refuseJob';
@@ -56,11 +56,11 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { host, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
   const history = createCallHistory(host.now);
-  const room = createWaitingRoom(host.now);
-  host.board.onChange(room.wake);
+  const queue = createAdmissionQueue(host.now);
+  host.board.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
-    stream: (gateway, job) => serveStream(gateway, job, room),
+    stream: (gateway, job) => serveStream(gateway, job, queue),
   };
   let active = 0;
 
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -7,7 +7,7 @@
 import { crossingCost } from '../../chains/crossingCost';
 import { findChain } from '../../chains/findChain';
 import type { Stage } from '../../chains/layerEngine';
-import type { WaitingRoom } from './createWaitingRoom';
+import type { AdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { refuseJob } from './refuseJob';
 import { runStreamAttempt } from './runStreamAttempt';
@@ -34,7 +34,11 @@
 const MAX_ATTEMPTS = 6;
 
 /** Serves the job to its end. */
-export async function serveStream(host: GatewayHost, job: Job, room: WaitingRoom): Promise<void> {
+export async function serveStream(
+  host: GatewayHost,
+  job: Job,
+  queue: AdmissionQueue,
+): Promise<void> {
   const { rule, profile } = job;
   let progress: StreamProgress = {
     lastEventId: job.head.lastEventId,
@@ -49,7 +53,7 @@
   let lastEnd: AttemptEnd | undefined;
   host.budgets.noteRequest(profile.name);
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
-    const stages = await awaitChain(host, job, room, tokens, progress.events > 0);
+    const stages = await awaitChain(host, job, queue, tokens, progress.events > 0);
     if (job.isOver()) return;
     const hasAttempts = await hasAttemptsLeft(runs, rule.maxAttempts);
     const mayRepeat = sent === 0 || (hasAttempts && host.budgets.takeRetry(profile.name));
@@ -121,7 +125,7 @@
 async function awaitChain(
   host: GatewayHost,
   job: Job,
-  room: WaitingRoom,
+  queue: AdmissionQueue,
   tokens: number,
   hasBegun: boolean,
 ): Promise<readonly Stage[] | undefined> {
@@ -131,7 +135,7 @@
   for (;;) {
     const stages = searchChain(host, job, tokens, hasBegun ? Infinity : maxStartMs);
     if (stages !== undefined) return stages;
-    const isWoken = await room.wait(hasBegun ? -1 : job.priority, untilMs);
+    const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
     if (!isWoken || job.isOver()) return undefined;
   }
 }
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
-import { createExecutorSeat } from '../adapters/gateway/createExecutorSeat';
+import { createExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
@@ -167,7 +167,7 @@
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
   });
   const placer = createPlacer({ board, protocol, catalog: published.current, now, log: write });
-  const seat = createExecutorSeat({
+  const claim = createExecutorClaim({
     store,
     table: platform.ownTable,
     key: EXECUTOR_KEY,
@@ -194,7 +194,7 @@
       );
       isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
       peers.learnRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
-      seat.learnRow(rows.get(EXECUTOR_KEY));
+      claim.learnRow(rows.get(EXECUTOR_KEY));
     },
     onContact: health.succeeded,
     onTrouble: health.failed,
@@ -216,7 +216,7 @@
     if (board.suspicions().length > 0) probes.recheck();
     if (stoppingMs !== undefined) return;
     if (!isRegistered && dutyCount % REGISTER_DUTIES === 0) void register();
-    if (seat.tick(peers.live()) && health.isFresh()) {
+    if (claim.tick(peers.live()) && health.isFresh()) {
       placer.tick();
       if (dutyCount % CLEANUP_DUTIES === 0) void removeDeparted();
     }
@@ -255,7 +255,7 @@
       write('stopping', { active: gateway.active() });
       peers.announce();
       const released = Promise.all([
-        seat.giveUp(),
+        claim.giveUp(),
         store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value: undefined }]),
       ]);
       const endMs = stoppingMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
