Keep the catalog confirmed after changes, and age confirmations over suspensions

Cause: an answer with a change only confirms the time at which the wait began. Second fault, found by reading: both clocks were read when an answer was read, so an answer from before a suspension counted as fresh.

Ruled out: heartbeats lost (all VMs saw the same two flips at the same time).

The next wait now ends before the confirmation lapses, and confirmations carry the clocks of the sending.

--- /dev/null
+++ b/src/adapters/gateway/followCatalog.test.ts
@@ -0,0 +1,84 @@
+import type { Catalog } from '../../catalog/catalog';
+import type { ClockReading } from '../../catalog/confirmation';
+import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
+import { followCatalog } from './followCatalog';
+
+/** A store whose waits end when the test says so. */
+function createHeldStore() {
+  const waits: { readonly waitMs: number; readonly end: (read: TableRead) => void }[] = [];
+  const store: WatchedStore = {
+    read: () => Promise.resolve({ type: 'rows', rows: [row(1)], version: 1 }),
+    watch: (_table, _version, waitMs) =>
+      new Promise((resolve) => {
+        waits.push({ waitMs, end: resolve });
+      }),
+    write: () => Promise.resolve({ type: 'unavailable', detail: 'not used' }),
+  };
+  return { store, waits };
+}
+
+const row = (version: number) => ({ key: 'config', value: String(version), version });
+
+const catalogOf = (version: number): Catalog => ({
+  version,
+  routes: new Map(),
+  services: new Map(),
+  hasWorkspaces: false,
+  credentials: new Map(),
+  limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
+});
+
+/** Long enough for what was resolved to be carried on, and for the pause after a change. */
+const turn = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 90));
+
+async function follow() {
+  const { store, waits } = createHeldStore();
+  let reading: ClockReading = { monotonicMs: 0, wallMs: 1_000_000 };
+  const catalog = followCatalog({
+    store,
+    table: 'op',
+    decodeCatalog: (rows) => catalogOf(Number(rows.get('config')?.value)),
+    onCatalog: () => undefined,
+    health: {
+      succeeded: () => undefined,
+      failed: () => undefined,
+      isFresh: () => true,
+      wasAwayRecently: () => false,
+    },
+    vms: () => 80,
+    limitMs: () => 4_250,
+    clock: () => reading,
+    random: () => 0,
+    log: () => undefined,
+  });
+  await turn();
+  return {
+    catalog,
+    waits,
+    advance: (monotonicMs: number, wallMs = monotonicMs) => {
+      reading = {
+        monotonicMs: reading.monotonicMs + monotonicMs,
+        wallMs: reading.wallMs + wallMs,
+      };
+    },
+  };
+}
+
+describe('followCatalog', () => {
+  it('asks again in time where a change ended a long wait', async () => {
+    const { waits, advance } = await follow();
+    expect(waits[0]?.waitMs).toBe(2_500);
+    advance(2_400);
+    waits[0]?.end({ type: 'rows', rows: [row(2)], version: 2 });
+    await turn();
+    expect(waits[1]?.waitMs).toBe(1_350);
+  });
+
+  it('does not count a suspension as confirmed by an answer from before it', async () => {
+    const { catalog, waits, advance } = await follow();
+    advance(500, 7_500);
+    waits[0]?.end({ type: 'rows', rows: [], version: 1 });
+    await turn();
+    expect(catalog.isConfirmed()).toBe(false);
+  });
+});
--- a/src/adapters/gateway/followCatalog.ts
+++ b/src/adapters/gateway/followCatalog.ts
@@ -3,6 +3,7 @@
 import type { Catalog } from '../../catalog/catalog';
 import type { ClockReading } from '../../catalog/confirmation';
 import { elapsedMs } from '../../catalog/confirmation';
+import { confirmationWait } from '../../catalog/confirmationWait';
 import type { StoreRow } from '../../contracts/watchedStore';
 import type { StoreHealth } from '../../gateway/createStoreHealth';
 import type { LogFields } from '../../gateway/job';
@@ -12,18 +13,20 @@
 export interface FollowedCatalog {
   /** Undefined before the first one is known. */
   readonly current: () => Catalog | undefined;
-  /** It was known to be the newest at most so long ago, milliseconds. */
-  readonly isConfirmedWithin: (ageMs: number) => boolean;
+  /** It was known to be the newest a short time ago. */
+  readonly isConfirmed: () => boolean;
 }
 
 export interface FollowCatalogOptions extends Pick<
   FollowOptions,
-  'store' | 'table' | 'now' | 'random'
+  'store' | 'table' | 'clock' | 'random'
 > {
   /** Undefined where the rows hold no catalog; throws where they hold one that is not valid. */
   readonly decodeCatalog: (rows: ReadonlyMap<string, StoreRow>) => Catalog | undefined;
   readonly onCatalog: (catalog: Catalog) => void;
   readonly health: StoreHealth;
+  /** Age of the last confirmation from which the catalog may be outdated, milliseconds. */
+  readonly limitMs: () => number;
   /** VMs that follow the catalog. */
   readonly vms: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -41,8 +44,7 @@
 
 /** Starts to follow. */
 export function followCatalog(options: FollowCatalogOptions): FollowedCatalog {
-  const { decodeCatalog, onCatalog, health, vms, log, now } = options;
-  const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
+  const { decodeCatalog, onCatalog, health, limitMs, vms, log, clock } = options;
   let catalog: Catalog | undefined;
   let confirmedAt: ClockReading | undefined;
 
@@ -55,9 +57,15 @@
       return undefined;
     }
   };
+  const ageMs = (): number =>
+    confirmedAt === undefined ? Infinity : elapsedMs(confirmedAt, clock());
   followTable({
     ...options,
-    waitMs: () => (vms() < LARGE_FLEET_VMS ? WAIT_MS : LARGE_FLEET_WAIT_MS),
+    waitMs: () =>
+      confirmationWait(ageMs(), {
+        limitMs: limitMs(),
+        longestMs: vms() < LARGE_FLEET_VMS ? WAIT_MS : LARGE_FLEET_WAIT_MS,
+      }),
     settleMs: () => SETTLE_MS,
     onRows: (rows) => {
       const next = decode(rows);
@@ -66,17 +74,14 @@
       onCatalog(next);
       log('catalog in force', { version: next.version, hosts: next.routes.size });
     },
-    onContact: (knownMs) => {
-      const reading = clock();
-      const agoMs = reading.monotonicMs - knownMs;
-      confirmedAt = { monotonicMs: knownMs, wallMs: reading.wallMs - agoMs };
+    onContact: (known) => {
+      confirmedAt = known;
       health.succeeded();
     },
     onTrouble: health.failed,
   });
   return {
     current: () => catalog,
-    isConfirmedWithin: (ageMs) =>
-      confirmedAt !== undefined && elapsedMs(confirmedAt, clock()) < ageMs,
+    isConfirmed: () => ageMs() < limitMs(),
   };
 }
--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -13,8 +13,10 @@
 
 export interface FollowServersOptions extends Pick<
   FollowOptions,
-  'store' | 'table' | 'settleMs' | 'now' | 'random'
+  'store' | 'table' | 'settleMs' | 'clock' | 'random'
 > {
+  /** Monotonic clock, milliseconds. */
+  readonly now: () => number;
   /** Undefined where the row names no backend server. */
   readonly decodeServer: (row: StoreRow) => ListedServer | undefined;
   readonly board: ServerBoard;
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -1,5 +1,6 @@
 /** Follows one table of the store: reads it once, then waits for changes, for as long as the VM runs. */
 
+import type { ClockReading } from '../../catalog/confirmation';
 import { quietUntil } from '../../catalog/confirmation';
 import type { StoreRow, TableRead, WatchedStore } from '../../contracts/watchedStore';
 
@@ -12,11 +13,10 @@
   readonly settleMs: () => number;
   /** All rows, after every change. */
   readonly onRows: (rows: ReadonlyMap<string, StoreRow>) => void;
-  /** Called after each answer with the time for which the rows are known, monotonic, milliseconds. */
-  readonly onContact: (knownMs: number) => void;
+  /** Called after each answer with the time until which the rows are known. */
+  readonly onContact: (known: ClockReading) => void;
   readonly onTrouble: (detail: string) => void;
-  /** Monotonic clock, milliseconds. */
-  readonly now: () => number;
+  readonly clock: () => ClockReading;
   /** Uniform in [0, 1). */
   readonly random: () => number;
 }
@@ -27,7 +27,7 @@
 
 /** Starts to follow; never ends. */
 export function followTable(options: FollowOptions): void {
-  const { store, table, waitMs, settleMs, now } = options;
+  const { store, table, waitMs, settleMs, clock } = options;
   let rows = new Map<string, StoreRow>();
   let version: number | undefined;
   let backoffMs = FIRST_BACKOFF_MS;
@@ -44,7 +44,7 @@
     if (isFirst || result.rows.length > 0) options.onRows(rows);
   };
   const step = async (): Promise<number> => {
-    const sentMs = now();
+    const sent = clock();
     const wantedMs = waitMs();
     const result =
       version === undefined ? await store.read(table) : await store.watch(table, version, wantedMs);
@@ -54,7 +54,7 @@
       return backoffMs * (0.5 + options.random());
     }
     const isQuiet = version !== undefined && result.type === 'rows' && result.rows.length === 0;
-    options.onContact(isQuiet ? quietUntil(sentMs, wantedMs) : sentMs);
+    options.onContact(isQuiet ? quietUntil(sent, wantedMs) : sent);
     backoffMs = FIRST_BACKOFF_MS;
     if (result.type === 'history-gone') {
       version = undefined;
--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -100,8 +100,15 @@
 });
 
 describe('quietUntil', () => {
+  const sent = { monotonicMs: 10_000, wallMs: 70_000 };
+
   it('counts the wait, less the time for which changes may be kept back', () => {
-    expect(quietUntil(10_000, 2_500)).toBe(11_500);
-    expect(quietUntil(10_000, 600)).toBe(10_000);
+    expect(quietUntil(sent, 2_500)).toEqual({ monotonicMs: 11_500, wallMs: 71_500 });
+    expect(quietUntil(sent, 600)).toEqual(sent);
+  });
+
+  it('ages over a suspension before the answer is read', () => {
+    const known = quietUntil(sent, 2_500);
+    expect(elapsedMs(known, { monotonicMs: 10_500, wallMs: 77_500 })).toBe(6_000);
   });
 });
--- a/src/catalog/confirmation.ts
+++ b/src/catalog/confirmation.ts
@@ -17,14 +17,16 @@
 
 /**
  * A wait for changes that ended without one says that there was none until shortly before its end,
- * since the store does not answer earlier without a change.
+ * since the store does not answer earlier without a change. Both clocks are read when the wait begins:
+ * the VM may be suspended before it reads the answer.
  *
- * @param sentMs when the wait was asked for, monotonic, milliseconds
+ * @param sent when the wait was asked for
  * @param waitMs how long the store was to wait, milliseconds
- * @returns the time until which there was no change, monotonic, milliseconds
+ * @returns the time until which there was no change
  */
-export function quietUntil(sentMs: number, waitMs: number): number {
-  return sentMs + Math.max(0, waitMs - WITHHELD_MS);
+export function quietUntil(sent: ClockReading, waitMs: number): ClockReading {
+  const knownMs = Math.max(0, waitMs - WITHHELD_MS);
+  return { monotonicMs: sent.monotonicMs + knownMs, wallMs: sent.wallMs + knownMs };
 }
 
 /**
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -17,6 +17,7 @@
 import { followServers } from '../adapters/gateway/followServers';
 import { followTable } from '../adapters/gateway/followTable';
 import type { Catalog } from '../catalog/catalog';
+import type { ClockReading } from '../catalog/confirmation';
 import { createServerBoard } from '../gateway/createServerBoard';
 import { createServerProbes } from '../gateway/createServerProbes';
 import { createStartTimes } from '../gateway/createStartTimes';
@@ -104,7 +105,8 @@
 
   let stoppingMs: number | undefined;
   const health = createStoreHealth(now, write);
-  const common = { store, health, log: write, now, random: Math.random };
+  const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
+  const common = { store, health, log: write, now, clock, random: Math.random };
   const published = followCatalog({
     ...common,
     table: platform.catalogTable,
@@ -113,11 +115,10 @@
       applyLimits(callers, catalog);
     },
     vms: () => peers.size(),
+    limitMs: () => settings.credentials.revoke_ms * CONFIRMED_SHARE,
   });
-  const isConfirmed = (): boolean =>
-    published.isConfirmedWithin(settings.credentials.revoke_ms * CONFIRMED_SHARE);
   const isAccepting = (): boolean =>
-    stoppingMs === undefined && published.current() !== undefined && isConfirmed();
+    stoppingMs === undefined && published.current() !== undefined && published.isConfirmed();
   const isClosing = (): boolean =>
     stoppingMs !== undefined && now() - stoppingMs > CLOSING_AFTER_MS;
 
@@ -161,7 +162,7 @@
   const gateway = createGateway({
     host,
     catalog: published.current,
-    isConfirmed,
+    isConfirmed: published.isConfirmed,
     isClosing,
     isDraining: () => stoppingMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
