--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -68,7 +68,7 @@
       tokens,
       fromDomain: host.failureDomain,
       domainDelayMs: pipeline.domainDelayMs,
-      crossingMs: crossingCost(pipeline, board.crossingShare(pipeline)),
+      crossingMs: crossingCost(pipeline, board.crossingShare(pipeline), true),
       excluded: new Set(),
       domains: new Map(
         stages.map(({ id }) => [id, board.find(id)?.failureDomain ?? host.failureDomain]),
@@ -78,8 +78,9 @@
     host.count('chain_repairs', result.type);
     if (result.type === 'accepted') {
       reservation.release();
+      const kept = new Set(stages.map(({ id }) => id));
       stages = path;
-      reservation = board.reserve(stages, tokens);
+      reservation = board.reserve(stages, tokens, kept);
       repairedMs = now();
       return;
     }
--- a/src/adapters/gateway/createExecutorClaim.ts
+++ b/src/adapters/gateway/createExecutorClaim.ts
@@ -18,14 +18,20 @@
   readonly table: string;
   readonly key: string;
   readonly self: PeerRecord;
+  /** Monotonic clock, milliseconds. */
+  readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
+/** Time for which a holder must be missing before it is replaced, milliseconds: word may be late. */
+const MISSING_MS = 1_000;
+
 /** Creates a claim that is not held. */
 export function createExecutorClaim(options: ExecutorClaimOptions): ExecutorClaim {
-  const { store, table, key, self, log } = options;
+  const { store, table, key, self, now, log } = options;
   let row: ExecutorRow | undefined;
   let isAsking = false;
+  let missingSinceMs: number | undefined;
 
   const take = async (): Promise<void> => {
     isAsking = true;
@@ -38,7 +44,12 @@
   return {
     tick: (live) => {
       const verdict = electExecutor({ row, self, live });
-      if (verdict === 'take' && !isAsking) void take();
+      if (verdict !== 'take') missingSinceMs = undefined;
+      else {
+        missingSinceMs ??= now();
+        const isDue = row === undefined || now() - missingSinceMs >= MISSING_MS;
+        if (isDue && !isAsking) void take();
+      }
       return verdict === 'hold';
     },
     learnRow: (stored) => {
--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -11,6 +11,7 @@
 import { pickService } from '../../catalog/pickService';
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
+import { createReturnEstimate } from '../../gateway/createReturnEstimate';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { readRequestBody } from './readRequestBody';
 import { refuseJob } from './refuseJob';
@@ -57,6 +58,7 @@
   const { host, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
   const history = createCallHistory(host.now);
   const queue = createAdmissionQueue(host.now);
+  const returns = createReturnEstimate();
   host.board.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
@@ -159,6 +161,7 @@
       body,
       response,
       arrivedMs,
+      isReturning: returns.isReturning(rule.name, head.deadlineMs, rule.targetMs),
       expiresMs: arrivedMs + Math.max(1, limitMs - EXPIRY_MARGIN_MS),
       noteSent: () => {
         isSent = true;
--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -1,14 +1,22 @@
 /**
- * Keeps this VM and its peers aware of each other: every VM sends each other one a heartbeat with its
- * work on the backend servers. Membership itself is rows of the store.
+ * Keeps this VM and its peers aware of each other by heartbeats with the work on the backend servers,
+ * sent to everybody in a small fleet and by way of relays in a large one. Membership itself is rows of
+ * the store.
  */
 
 import { createSocket } from 'node:dgram';
 import type { ServerBoard } from '../../gateway/createServerBoard';
+import type { GatewayWork } from '../../gateway/gatewayWork';
 import type { LogFields } from '../../gateway/job';
+import { chooseRelays, isRelayedFleet } from '../../peers/chooseRelays';
+import { addWork, subtractWork } from '../../peers/combineWork';
+import { createRelayWatch } from '../../peers/createRelayWatch';
+import { digestDomain } from '../../peers/digestDomain';
 import { decodeHeartbeat, encodeHeartbeat } from '../../peers/heartbeatCodec';
 import { listLivePeers } from '../../peers/listLivePeers';
-import type { HeardPeer, PeerRecord } from '../../peers/peer';
+import type { DomainDigest, HeardPeer, Heartbeat, PeerRecord } from '../../peers/peer';
+import type { DigestScope } from '../../peers/planHeartbeats';
+import { planHeartbeats } from '../../peers/planHeartbeats';
 
 export interface PeerGroup {
   readonly learnRecords: (records: readonly PeerRecord[]) => void;
@@ -16,6 +24,8 @@
   readonly live: () => readonly PeerRecord[];
   /** VMs of which a record is known, this one included. */
   readonly size: () => number;
+  /** VMs of the own failure domain that follow the store for the others; none in a small fleet. */
+  readonly relays: () => readonly PeerRecord[];
   /** Tells all peers at once, outside the usual rhythm. */
   readonly announce: () => void;
   /** Records of VMs that have been silent for long. */
@@ -29,20 +39,40 @@
   readonly isAccepting: () => boolean;
   /** Called for a backend server that a peer found lost. */
   readonly onLost: (id: string, bornMs: number) => void;
+  /** Called for a backend server that a relay found lost and no longer does. */
+  readonly onAnswering: (id: string) => void;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Shortest time between heartbeats, milliseconds. */
+/** Time between heartbeats of a small fleet, milliseconds. */
 const HEARTBEAT_MS = 250;
 
 /** Time that each peer adds to it, milliseconds, which bounds the datagrams a second. */
 const HEARTBEAT_PER_PEER_MS = 14;
 
-/** Heartbeats that may be lost in a row before a VM counts as gone. */
+/**
+ * Time between heartbeats in a fleet with relays, milliseconds. All VMs of a domain hear of work at the
+ * same moments; until the next, they send their requests to the same engines.
+ */
+const RELAYED_HEARTBEAT_MS = 150;
+
+/** Heartbeats for each one that goes to the relays of other failure domains. */
+const BEATS_PER_FAR_BEAT = 2;
+
+/** Pause before a change is passed on, milliseconds: VMs often change together. */
+const PASS_ON_MS = 60;
+
+/** Heartbeats that may be missed in a row before a VM counts as gone. */
 const MISSED_HEARTBEATS = 5;
 
+/** Silence after which a VM counts as gone in a fleet with relays, milliseconds: one of them may fail. */
+const RELAYED_SILENT_MS = 2_400;
+
+/** Age at which the work of a VM no longer counts, milliseconds: some heartbeats were missed. */
+const WORK_VALID_MS = 3_000;
+
 /** Silence after which a VM's record is removed, milliseconds. */
 const DEPARTED_MS = 10_000;
 
@@ -54,36 +84,132 @@
   let records: readonly PeerRecord[] = [self];
   const socket = createSocket('udp4');
   const [host, port] = self.peerAddress.split(':');
-  const intervalMs = (): number => Math.max(HEARTBEAT_MS, records.length * HEARTBEAT_PER_PEER_MS);
-
+  const relayWatch = createRelayWatch(now);
+  const domains = new Map<string, { readonly digest: DomainDigest; readonly atMs: number }>();
+  let beats = 0;
+  /** Backend servers that each relay last named as lost. */
+  const lostBy = new Map<string, ReadonlySet<string>>();
+  let sentWork: GatewayWork = { servers: new Map(), crossingPerMs: 0 };
+  const isRelayed = (): boolean => isRelayedFleet(records.length);
+  const intervalMs = (): number =>
+    isRelayed()
+      ? RELAYED_HEARTBEAT_MS
+      : Math.max(HEARTBEAT_MS, records.length * HEARTBEAT_PER_PEER_MS);
+  const silentMs = (): number =>
+    isRelayed() ? RELAYED_SILENT_MS : intervalMs() * MISSED_HEARTBEATS;
+  const ownDigest = (): DomainDigest =>
+    digestDomain({
+      failureDomain: self.failureDomain,
+      self: {
+        vm: self.vm,
+        incarnation: self.incarnation,
+        isAccepting: isAccepting(),
+        heardAgoMs: 0,
+      },
+      ownWork: board.ownWork(),
+      records,
+      heard,
+      nowMs: now(),
+      validMs: WORK_VALID_MS,
+    });
+  const farDigests = (): readonly DomainDigest[] =>
+    [...domains.values()]
+      .filter(({ digest }) => digest.failureDomain !== self.failureDomain)
+      .filter(({ atMs }) => now() - atMs < WORK_VALID_MS)
+      .map(({ digest, atMs }) => ({
+        ...digest,
+        members: digest.members.map((member) => ({
+          ...member,
+          heardAgoMs: member.heardAgoMs + now() - atMs,
+        })),
+      }));
+  const digestsFor: Readonly<Record<DigestScope, () => readonly DomainDigest[]>> = {
+    none: () => [],
+    own: () => [ownDigest()],
+    all: () => [ownDigest(), ...farDigests()],
+  };
   const announce = (): void => {
     const lost = board.suspicions().map(({ id, bornMs }) => ({ id, bornMs }));
-    const datagram = encodeHeartbeat({
-      vm: self.vm,
-      incarnation: self.incarnation,
-      isAccepting: isAccepting(),
-      loads: board.ownLoads(),
-      lost,
-    });
-    for (const { vm, peerAddress } of records) {
-      if (vm === self.vm) continue;
-      const [peerHost, peerPort] = peerAddress.split(':');
+    const targets = planHeartbeats(self, records, relayWatch.isSilent);
+    relayWatch.check(targets.filter(({ isRelay }) => isRelay).map(({ peer }) => peer.vm));
+    sentWork = addWork([board.ownWork()]);
+    const datagrams = new Map<DigestScope, Uint8Array>();
+    beats += 1;
+    const isFarBeat = beats % BEATS_PER_FAR_BEAT === 0;
+    for (const { peer, scope } of targets) {
+      if (scope === 'own' && !isFarBeat) continue;
+      const datagram =
+        datagrams.get(scope) ??
+        encodeHeartbeat({
+          vm: self.vm,
+          incarnation: self.incarnation,
+          isAccepting: isAccepting(),
+          work: sentWork,
+          lost,
+          domains: digestsFor[scope](),
+        });
+      datagrams.set(scope, datagram);
+      const [peerHost, peerPort] = peer.peerAddress.split(':');
       // A datagram that cannot be sent is a heartbeat missed; the receiver bounds those.
       socket.send(datagram, Number(peerPort), peerHost, () => undefined);
     }
   };
+  let passingOn: NodeJS.Timeout | undefined;
+  /** Tells others of a change ahead of the next heartbeat, where they hear of it through this VM. */
+  const passOn = (): void => {
+    const isRelay = planHeartbeats(self, records, relayWatch.isSilent).some(
+      ({ scope }) => scope !== 'none',
+    );
+    if (!isRelay || passingOn !== undefined) return;
+    passingOn = setTimeout(() => {
+      passingOn = undefined;
+      announce();
+    }, PASS_ON_MS);
+  };
+  const noteHeard = (vm: string, word: HeardPeer): void => {
+    const known = heard.get(vm);
+    if (known !== undefined && known.heardMs > word.heardMs) return;
+    if (known?.incarnation !== word.incarnation) {
+      log('peer heard', { peer: vm, incarnation: word.incarnation });
+    } else if (known.isAccepting !== word.isAccepting) {
+      log('peer changed', { peer: vm, isAccepting: word.isAccepting });
+      passOn();
+    }
+    heard.set(vm, word);
+  };
+  const learnDigest = (digest: DomainDigest): void => {
+    const { failureDomain, members, work } = digest;
+    const nowMs = now();
+    const isOwn = failureDomain === self.failureDomain;
+    for (const { vm, incarnation, isAccepting: accepts, heardAgoMs } of members) {
+      if (vm === self.vm) continue;
+      noteHeard(vm, { incarnation, isAccepting: accepts, heardMs: nowMs - heardAgoMs });
+      // Their work is part of the sum.
+      board.forgetWork(vm);
+    }
+    domains.set(failureDomain, { digest, atMs: nowMs });
+    board.learnWork(failureDomain, isOwn ? subtractWork(work, sentWork) : work);
+  };
+  const learnOwnWord = ({ vm, incarnation, isAccepting: accepts, work }: Heartbeat): void => {
+    noteHeard(vm, { incarnation, isAccepting: accepts, heardMs: now(), work });
+    // This VM is a relay, or the fleet is small: it adds up the work of its domain itself.
+    board.forgetWork(self.failureDomain);
+    board.learnWork(vm, work);
+  };
+  const learnLost = ({ vm, lost, domains: digests }: Heartbeat): void => {
+    for (const { id, bornMs } of lost) options.onLost(id, bornMs);
+    if (digests.length === 0) return;
+    const ids = new Set(lost.map(({ id }) => id));
+    for (const id of lostBy.get(vm) ?? []) if (!ids.has(id)) options.onAnswering(id);
+    lostBy.set(vm, ids);
+  };
   socket.on('message', (datagram) => {
     const heartbeat = decodeHeartbeat(datagram);
     if (heartbeat === undefined) return;
-    const { vm, incarnation } = heartbeat;
-    const known = heard.get(vm);
-    if (known?.incarnation !== incarnation) log('peer heard', { peer: vm, incarnation });
-    else if (known.isAccepting !== heartbeat.isAccepting) {
-      log('peer changed', { peer: vm, isAccepting: heartbeat.isAccepting });
-    }
-    heard.set(vm, { incarnation, isAccepting: heartbeat.isAccepting, heardMs: now() });
-    board.learnLoads(vm, heartbeat.loads);
-    for (const { id, bornMs } of heartbeat.lost) options.onLost(id, bornMs);
+    relayWatch.noteHeard(heartbeat.vm);
+    if (heartbeat.domains.length === 0) learnOwnWord(heartbeat);
+    else for (const digest of heartbeat.domains) learnDigest(digest);
+    learnLost(heartbeat);
   });
   socket.on('error', (error) => {
     log('peer socket failed', { error: error.message });
@@ -110,9 +236,11 @@
         self: self.vm,
         isSelfAccepting: isAccepting(),
         nowMs: now(),
-        silentMs: intervalMs() * MISSED_HEARTBEATS,
+        silentMs: silentMs(),
       }),
     size: () => records.length,
+    relays: () =>
+      isRelayed() ? chooseRelays(records, self.failureDomain, relayWatch.isSilent) : [],
     announce,
     departed: () =>
       records.filter(({ vm, incarnation }) => {
@@ -121,6 +249,7 @@
       }),
     close: () => {
       clearTimeout(timer);
+      clearTimeout(passingOn);
       socket.close();
     },
   };
--- /dev/null
+++ b/src/adapters/gateway/createRelayedStore.test.ts
@@ -0,0 +1,136 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { ClockReading } from '../../catalog/confirmation';
+import type { StoreRow, WatchedStore } from '../../contracts/watchedStore';
+import type { PeerRecord } from '../../peers/peer';
+import type { TableCopy } from '../../peers/tableCopy';
+import { createTableCopy } from '../../peers/tableCopy';
+import { createRelayedStore } from './createRelayedStore';
+import { createTableRelay } from './createTableRelay';
+
+const row = (key: string, version: number): StoreRow => ({ key, value: key, version });
+
+const record = (vm: string, tableAddress: string): PeerRecord => ({
+  vm,
+  incarnation: `${vm}-1`,
+  callerAddress: '',
+  peerAddress: '',
+  tableAddress,
+  failureDomain: 'a',
+  cores: 1,
+});
+
+let server: Server | undefined;
+
+afterEach(() => {
+  server?.closeAllConnections();
+  server?.close();
+});
+
+async function startRelay() {
+  let reading: ClockReading = { monotonicMs: 5_000, wallMs: 5_000 };
+  const relay = createTableRelay(() => reading);
+  server = createServer(relay.handle);
+  await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const asked: number[] = [];
+  const log: string[] = [];
+  const store: WatchedStore = {
+    read: () => Promise.resolve({ type: 'rows', rows: [], version: 0 }),
+    watch: (_table, sinceVersion) => {
+      asked.push(sinceVersion);
+      return Promise.resolve({ type: 'rows', rows: [], version: sinceVersion });
+    },
+    write: () => Promise.resolve({ type: 'conflict' }),
+  };
+  const relays = [record('relay', `127.0.0.1:${port}`)];
+  const follow = (vm: string, from = relays): WatchedStore =>
+    createRelayedStore({
+      store,
+      vm,
+      relays: () => from,
+      now: () => reading.monotonicMs,
+      log: (message) => log.push(message),
+    });
+  return {
+    http: server,
+    publish: (copy: TableCopy, isDirect = true) => {
+      relay.publish('t', { copy, known: reading, isDirect, maxAgeMs: 2_600 });
+    },
+    asked,
+    log,
+    follow,
+    advance: (ms: number) => {
+      reading = { monotonicMs: reading.monotonicMs + ms, wallMs: reading.wallMs + ms };
+    },
+  };
+}
+
+describe('createRelayedStore', () => {
+  it('gets changes from the relay, with the age of what the relay knows', async () => {
+    const { publish, follow, asked, advance } = await startRelay();
+    publish(createTableCopy([row('a', 7)], 7));
+    advance(300);
+    const read = await follow('leaf').watch('t', 7, 20);
+    expect(read).toEqual({
+      type: 'rows',
+      rows: [],
+      version: 7,
+      relayed: { heldMs: 0, agoMs: 300 },
+    });
+    expect(asked).toEqual([]);
+  });
+
+  it('is answered at once when news reaches the relay', async () => {
+    const { publish, follow, http } = await startRelay();
+    publish(createTableCopy([], 7));
+    const waiting = follow('leaf').watch('t', 7, 60_000);
+    await once(http, 'request');
+    publish({ ...createTableCopy([row('b', 9)], 9), knownSince: 7 });
+    expect(await waiting).toMatchObject({ rows: [row('b', 9)], version: 9 });
+  });
+
+  it('reads the table again where the relay does not know what was removed', async () => {
+    const { publish, follow } = await startRelay();
+    publish(createTableCopy([], 7));
+    expect(await follow('leaf').watch('t', 3, 20)).toEqual({ type: 'history-gone' });
+  });
+
+  it('asks the store where the relay has heard nothing of it for long', async () => {
+    const { publish, follow, asked, log, advance } = await startRelay();
+    publish(createTableCopy([], 7));
+    advance(2_700);
+    await follow('leaf').watch('t', 7, 20);
+    expect(asked).toEqual([7]);
+    expect(log).toContain('relay does not answer');
+  });
+
+  it('asks the store where the relay itself follows another VM', async () => {
+    const { publish, follow, asked } = await startRelay();
+    publish(createTableCopy([], 7), false);
+    await follow('leaf').watch('t', 7, 20);
+    expect(asked).toEqual([7]);
+  });
+
+  it('leaves a relay alone that refused, and tries it again later', async () => {
+    const { follow, asked, advance, publish } = await startRelay();
+    const leaf = follow('leaf');
+    await leaf.watch('t', 7, 20);
+    publish(createTableCopy([], 7));
+    await leaf.watch('t', 7, 20);
+    expect(asked).toEqual([7, 7]);
+    advance(3_000);
+    publish(createTableCopy([], 7));
+    await leaf.watch('t', 7, 20);
+    expect(asked).toEqual([7, 7]);
+  });
+
+  it('follows the store itself as a relay, and where there are none', async () => {
+    const { follow, asked } = await startRelay();
+    await follow('relay').watch('t', 7, 20);
+    await follow('leaf', []).watch('t', 8, 20);
+    expect(asked).toEqual([7, 8]);
+  });
+});
--- a/src/adapters/gateway/followCatalog.test.ts
+++ b/src/adapters/gateway/followCatalog.test.ts
@@ -28,8 +28,16 @@
   limits: { maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
 });
 
-/** Long enough for what was resolved to be carried on, and for the pause after a change. */
-const turn = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 90));
+/** Carries on what was resolved, over the pause after a change. */
+const turn = (): Promise<void> => jest.advanceTimersByTimeAsync(90);
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
 
 async function follow() {
   const { store, waits } = createHeldStore();
@@ -45,7 +53,7 @@
       isFresh: () => true,
       wasAwayRecently: () => false,
     },
-    vms: () => 80,
+    waitMs: () => 2_500,
     limitMs: () => 4_250,
     clock: () => reading,
     random: () => 0,
--- a/src/adapters/gateway/followCatalog.ts
+++ b/src/adapters/gateway/followCatalog.ts
@@ -19,7 +19,7 @@
 
 export interface FollowCatalogOptions extends Pick<
   FollowOptions,
-  'store' | 'table' | 'clock' | 'random'
+  'store' | 'table' | 'waitMs' | 'onCopy' | 'clock' | 'random'
 > {
   /** Undefined where the rows hold no catalog; throws where they hold one that is not valid. */
   readonly decodeCatalog: (rows: ReadonlyMap<string, StoreRow>) => Catalog | undefined;
@@ -27,24 +27,15 @@
   readonly health: StoreHealth;
   /** Age of the last confirmation from which the catalog may be outdated, milliseconds. */
   readonly limitMs: () => number;
-  /** VMs that follow the catalog. */
-  readonly vms: () => number;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Longest waits for a change, milliseconds; confirmations are this much apart. */
-const WAIT_MS = 2_000;
-const LARGE_FLEET_WAIT_MS = 2_500;
-
-/** VMs from which the longer wait applies: each call more is made by all of them. */
-const LARGE_FLEET_VMS = 24;
-
 /** Pause after a change, milliseconds: changes come in bursts. */
 const SETTLE_MS = 60;
 
 /** Starts to follow. */
 export function followCatalog(options: FollowCatalogOptions): FollowedCatalog {
-  const { decodeCatalog, onCatalog, health, limitMs, vms, log, clock } = options;
+  const { decodeCatalog, onCatalog, health, limitMs, log, clock } = options;
   let catalog: Catalog | undefined;
   let confirmedAt: ClockReading | undefined;
 
@@ -64,7 +55,7 @@
     waitMs: () =>
       confirmationWait(ageMs(), {
         limitMs: limitMs(),
-        longestMs: vms() < LARGE_FLEET_VMS ? WAIT_MS : LARGE_FLEET_WAIT_MS,
+        longestMs: options.waitMs(),
       }),
     settleMs: () => SETTLE_MS,
     onRows: (rows) => {
--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -13,7 +13,7 @@
 
 export interface FollowServersOptions extends Pick<
   FollowOptions,
-  'store' | 'table' | 'settleMs' | 'clock' | 'random'
+  'store' | 'table' | 'waitMs' | 'settleMs' | 'onCopy' | 'clock' | 'random'
 > {
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
@@ -24,9 +24,6 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Longest wait for a change, milliseconds; a silent connection is noticed soon after. */
-const WAIT_MS = 4_000;
-
 /** Time for which vanished entries are kept after the store was away, milliseconds. */
 const RELIST_MS = 1_700;
 
@@ -51,7 +48,6 @@
   };
   followTable({
     ...options,
-    waitMs: () => WAIT_MS,
     onRows: (next) => {
       for (const [id, row] of rows) if (!next.has(id)) noteVanished(id, row);
       if (vanished.size > 0) setTimeout(relist, RELIST_MS);
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -1,8 +1,10 @@
 /** Follows one table of the store: reads it once, then waits for changes, for as long as the VM runs. */
 
 import type { ClockReading } from '../../catalog/confirmation';
-import { quietUntil } from '../../catalog/confirmation';
+import { quietUntil, relayedUntil } from '../../catalog/confirmation';
 import type { StoreRow, TableRead, WatchedStore } from '../../contracts/watchedStore';
+import type { TableCopy } from '../../peers/tableCopy';
+import { applyTableChanges, createTableCopy } from '../../peers/tableCopy';
 
 export interface FollowOptions {
   readonly store: WatchedStore;
@@ -16,6 +18,8 @@
   /** Called after each answer with the time until which the rows are known. */
   readonly onContact: (known: ClockReading) => void;
   readonly onTrouble: (detail: string) => void;
+  /** Called after each answer with all that is known, for VMs that follow this one. */
+  readonly onCopy?: (copy: TableCopy, known: ClockReading, isDirect: boolean) => void;
   readonly clock: () => ClockReading;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -25,42 +29,44 @@
 const FIRST_BACKOFF_MS = 60;
 const MAX_BACKOFF_MS = 600;
 
+type RowsRead = Extract<TableRead, { readonly type: 'rows' }>;
+
 /** Starts to follow; never ends. */
 export function followTable(options: FollowOptions): void {
   const { store, table, waitMs, settleMs, clock } = options;
-  let rows = new Map<string, StoreRow>();
-  let version: number | undefined;
+  let copy: TableCopy | undefined;
   let backoffMs = FIRST_BACKOFF_MS;
 
-  const take = (result: Extract<TableRead, { readonly type: 'rows' }>): void => {
-    const next = version === undefined ? new Map<string, StoreRow>() : new Map(rows);
-    for (const row of result.rows) {
-      if (row.value === undefined) next.delete(row.key);
-      else next.set(row.key, row);
-    }
-    const isFirst = version === undefined;
-    rows = next;
-    version = Math.max(version ?? 0, result.version);
-    if (isFirst || result.rows.length > 0) options.onRows(rows);
+  const take = (result: RowsRead): void => {
+    const isFirst = copy === undefined;
+    copy =
+      copy === undefined
+        ? createTableCopy(result.rows, result.version)
+        : applyTableChanges(copy, result.rows, result.version);
+    if (isFirst || result.rows.length > 0) options.onRows(copy.rows);
   };
   const step = async (): Promise<number> => {
     const sent = clock();
     const wantedMs = waitMs();
+    const isWait = copy !== undefined;
     const result =
-      version === undefined ? await store.read(table) : await store.watch(table, version, wantedMs);
+      copy === undefined
+        ? await store.read(table)
+        : await store.watch(table, copy.version, wantedMs);
     if (result.type === 'unavailable') {
       options.onTrouble(result.detail);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
       return backoffMs * (0.5 + options.random());
     }
-    const isQuiet = version !== undefined && result.type === 'rows' && result.rows.length === 0;
-    options.onContact(isQuiet ? quietUntil(sent, wantedMs) : sent);
     backoffMs = FIRST_BACKOFF_MS;
     if (result.type === 'history-gone') {
-      version = undefined;
+      copy = undefined;
       return 0;
     }
+    const known = knownUntil(result, sent, isWait ? wantedMs : 0);
+    options.onContact(known);
     take(result);
+    if (copy !== undefined) options.onCopy?.(copy, known, result.relayed === undefined);
     return result.rows.length > 0 ? settleMs() : 0;
   };
   const run = async (): Promise<void> => {
@@ -72,3 +78,9 @@
   // The caller may still be wiring what the callbacks reach.
   setImmediate(() => void run());
 }
+
+/** Until when there was no change beyond those that an answer names. */
+function knownUntil(result: RowsRead, sent: ClockReading, waitMs: number): ClockReading {
+  if (result.relayed !== undefined) return relayedUntil(sent, result.relayed);
+  return result.rows.length === 0 ? quietUntil(sent, waitMs) : sent;
+}
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -30,6 +30,9 @@
   /** The caller left or its time is up. */
   | { readonly type: 'stopped' };
 
+/** Pause before a move that failed is tried again, milliseconds: other requests end meanwhile. */
+const MOVE_AGAIN_MS = 400;
+
 export interface StreamAttemptOptions {
   readonly job: Job;
   /** Undefined for a service whose servers answer alone. */
@@ -64,7 +67,7 @@
   let progress: StreamProgress = { ...options.progress, activeMs: startedMs };
   const startWait = host.startTimes.begin(options.stages[0]?.id ?? '');
   let hasOwnEvents = false;
-  const moves: NodeJS.Timeout[] = [];
+  const moves = new Set<NodeJS.Timeout>();
   let isOver = false;
   const [entry] = options.stages;
   if (entry === undefined) {
@@ -172,6 +175,17 @@
     });
   };
 
+  /** Moves the stream off an engine, again and again while no other has room for its part. */
+  const moveOff = (id: string, delayMs: number): void => {
+    const timer = setTimeout(() => {
+      moves.delete(timer);
+      if (isOver || !chain.includes(id)) return;
+      void chain.repair(new Set([id]), 'engine leaving').then(() => {
+        if (!isOver && chain.includes(id)) moveOff(id, MOVE_AGAIN_MS);
+      });
+    }, delayMs);
+    moves.add(timer);
+  };
   const watched = {
     check: () => {
       const nowMs = now();
@@ -199,12 +213,7 @@
         meanGapMs: progress.meanGapMs,
         draw: host.random(),
       });
-      if (delayMs === undefined) return;
-      moves.push(
-        setTimeout(() => {
-          if (chain.includes(id)) void chain.repair(new Set([id]), 'engine leaving');
-        }, delayMs),
-      );
+      if (delayMs !== undefined) moveOff(id, delayMs);
     },
   };
   const headers = protocol.forwardHeaders(job.headers, {
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -7,6 +7,7 @@
 import { crossingCost } from '../../chains/crossingCost';
 import { findChain } from '../../chains/findChain';
 import type { Stage } from '../../chains/layerEngine';
+import type { PipelineModel } from '../../chains/pipelineModel';
 import type { AdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { refuseJob } from './refuseJob';
@@ -20,6 +21,9 @@
 /** Targets of the first event that it may be expected to take; beyond, coming back is no later. */
 const MAX_START_TARGETS = 1.5;
 
+/** Longest wait of a caller that has asked before, milliseconds: late already, it may not ask again. */
+const RETURNING_WAIT_MS = 1_000;
+
 /** Longest wait of a stream that has begun for room to go on, milliseconds; callers leave soon after. */
 const RESUME_WAIT_MS = 1_200;
 
@@ -129,14 +133,21 @@
   tokens: number,
   hasBegun: boolean,
 ): Promise<readonly Stage[] | undefined> {
-  const patienceMs = hasBegun ? RESUME_WAIT_MS : job.rule.targetMs * WAIT_SHARE;
+  const firstWaitMs = job.isReturning ? RETURNING_WAIT_MS : job.rule.targetMs * WAIT_SHARE;
+  const patienceMs = hasBegun ? RESUME_WAIT_MS : firstWaitMs;
   const maxStartMs = job.rule.targetMs * MAX_START_TARGETS;
   const untilMs = Math.min(job.expiresMs, host.now() + patienceMs);
   for (;;) {
-    const stages = searchChain(host, job, tokens, hasBegun ? Infinity : maxStartMs);
-    if (stages !== undefined) return stages;
-    const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
-    if (!isWoken || job.isOver()) return undefined;
+    const stages = searchChain(host, job, tokens, hasBegun ? undefined : maxStartMs);
+    if (stages !== undefined) {
+      const ids = stages.map(({ id }) => id);
+      const isNews = host.isNewcomer() && (await host.probes.askUnknown(ids));
+      if (!isNews) return stages;
+    } else {
+      const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
+      if (!isWoken) return undefined;
+    }
+    if (job.isOver()) return undefined;
   }
 }
 
@@ -144,7 +155,8 @@
   host: GatewayHost,
   job: Job,
   tokens: number,
-  maxStartMs: number,
+  /** Undefined for a stream that has begun. */
+  maxStartMs: number | undefined,
 ): readonly Stage[] | undefined {
   const { board } = host;
   const { name, model } = job.profile;
@@ -161,10 +173,10 @@
     tokens,
     fromDomain: host.failureDomain,
     domainDelayMs: model.domainDelayMs,
-    crossingMs: crossingCost(model, board.crossingShare(model)),
+    crossingMs: crossingCost(model, board.crossingShare(model), maxStartMs === undefined),
     excluded: new Set(),
     isEntry: true,
-    maxStartMs,
+    ...(maxStartMs === undefined ? {} : { maxStartMs }),
   });
 }
 
@@ -175,6 +187,11 @@
   void host.probes.ask(blamed);
 }
 
+function roundShare(model: PipelineModel | undefined, host: GatewayHost): number | undefined {
+  if (model === undefined) return undefined;
+  return Math.round(host.board.crossingShare(model) * 100) / 100;
+}
+
 function logAttempt(
   host: GatewayHost,
   job: Job,
@@ -190,6 +207,8 @@
     fault: end.type === 'not-run' ? end.fault : undefined,
     entry: stages[0]?.id,
     stages: stages.length,
+    crossings: host.board.countCrossings(stages),
+    crossingShare: roundShare(job.profile.model, host),
     events: progress.events,
     lastEventId: progress.lastEventId,
     tookMs: Math.round(host.now() - job.arrivedMs),
--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -1,6 +1,6 @@
 import { authorize } from './authorize';
 import type { Catalog, RouteRule } from './catalog';
-import { elapsedMs, quietUntil } from './confirmation';
+import { elapsedMs, quietUntil, relayedUntil } from './confirmation';
 import { matchRoute } from './matchRoute';
 import { pickService } from './pickService';
 
@@ -112,3 +112,11 @@
     expect(elapsedMs(known, { monotonicMs: 10_500, wallMs: 77_500 })).toBe(6_000);
   });
 });
+
+describe('relayedUntil', () => {
+  it('counts back from the earliest time at which the other VM can have answered', () => {
+    const sent = { monotonicMs: 10_000, wallMs: 70_000 };
+    const known = relayedUntil(sent, { heldMs: 900, agoMs: 2_100 });
+    expect(known).toEqual({ monotonicMs: 8_800, wallMs: 68_800 });
+  });
+});
--- a/src/catalog/confirmation.ts
+++ b/src/catalog/confirmation.ts
@@ -4,6 +4,8 @@
  * bounds what the VM may accept.
  */
 
+import type { RelayedAge } from '../contracts/watchedStore';
+
 /** Readings of the clocks at one moment, milliseconds. */
 export interface ClockReading {
   /** Does not count time during which the VM was suspended. */
@@ -29,6 +31,19 @@
   return { monotonicMs: sent.monotonicMs + knownMs, wallMs: sent.wallMs + knownMs };
 }
 
+/**
+ * The same for an answer of another VM that follows the store. What it held the question for is safe to
+ * add: the answer was not given earlier.
+ *
+ * @param sent when the question was asked
+ * @param age what the other VM says of its answer
+ * @returns the time until which there was no change
+ */
+export function relayedUntil(sent: ClockReading, { heldMs, agoMs }: RelayedAge): ClockReading {
+  const knownMs = heldMs - agoMs;
+  return { monotonicMs: sent.monotonicMs + knownMs, wallMs: sent.wallMs + knownMs };
+}
+
 /**
  * Time since a reading. A suspended VM's monotonic clock stands still while its wall clock goes on,
  * so the larger of the two differences counts.
--- a/src/chains/crossingCost.ts
+++ b/src/chains/crossingCost.ts
@@ -12,12 +12,17 @@
 /** Added factor at full use; grows with the fourth power of the use. */
 const FULL_FACTOR = 200;
 
+/** Use from which no request may begin to cross: every stream behind the link would wait longer. */
+const SATURATED_SHARE = 0.95;
+
 /**
  * @param model the model
  * @param usedShare part of the link's bandwidth in use, 0 to 1 and more
- * @returns milliseconds of a decoding step
+ * @param isRunning the request runs already, and is lost if it may not cross
+ * @returns milliseconds of a decoding step; infinite where the link is saturated
  */
-export function crossingCost(model: PipelineModel, usedShare: number): number {
+export function crossingCost(model: PipelineModel, usedShare: number, isRunning = false): number {
+  if (usedShare >= SATURATED_SHARE && !isRunning) return Number.POSITIVE_INFINITY;
   const promptBytes = model.activationBytes * model.usualPromptTokens;
   const promptMs = promptBytes / model.domainBytesPerMs;
   const perStepMs = model.domainDelayMs + promptMs / Math.max(1, model.usualAnswerTokens);
--- a/src/chains/findChain.test.ts
+++ b/src/chains/findChain.test.ts
@@ -67,6 +67,15 @@
     expect(pathOf(search([busy, engine('y', 0, 8)]))).toBe('y 0-8');
   });
 
+  it('crosses no saturated link, and still enters a whole chain elsewhere', () => {
+    const split = [engine('a1', 0, 4), engine('b2', 4, 8, { failureDomain: 'b' })];
+    const saturated = { crossingMs: Number.POSITIVE_INFINITY };
+    expect(pathOf(search(split))).toBe('a1 0-4, b2 4-8');
+    expect(pathOf(search(split, saturated))).toBeUndefined();
+    const whole = engine('b1', 0, 8, { failureDomain: 'b' });
+    expect(pathOf(search([...split, whole], saturated))).toBe('b1 0-8');
+  });
+
   it('enters a whole chain elsewhere rather than crossing domains twice', () => {
     const engines = [
       engine('a1', 0, 2),
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -127,6 +127,7 @@
       const stepMs = stepCost(engine, to - position, search.tokens, extension.slowestMs);
       if (stepMs === undefined) break;
       const costMs = state.costMs + STAGE_MS + delayMs + stepMs;
+      if (!Number.isFinite(costMs)) break;
       const there = reached.get(to) ?? new Map<string, Reached>();
       const known = there.get(engine.failureDomain);
       if (known !== undefined && known.costMs <= costMs) continue;
--- a/src/contracts/watchedStore.ts
+++ b/src/contracts/watchedStore.ts
@@ -10,8 +10,22 @@
   readonly version: number;
 }
 
+/** How old an answer is that another VM gave in the store's place. */
+export interface RelayedAge {
+  /** Time for which the other VM held the question before it answered, milliseconds. */
+  readonly heldMs: number;
+  /** Time since the rows were known to be the newest, when it answered, milliseconds. */
+  readonly agoMs: number;
+}
+
 export type TableRead =
-  | { readonly type: 'rows'; readonly rows: readonly StoreRow[]; readonly version: number }
+  | {
+      readonly type: 'rows';
+      readonly rows: readonly StoreRow[];
+      readonly version: number;
+      /** Undefined where the store itself answered. */
+      readonly relayed?: RelayedAge;
+    }
   /** What changed since that version is no longer known; the table has to be read again. */
   | { readonly type: 'history-gone' }
   | { readonly type: 'unavailable'; readonly detail: string };
--- a/src/gateway/createServerBoard.ts
+++ b/src/gateway/createServerBoard.ts
@@ -4,20 +4,12 @@
  */
 
 import type { PipelineModel } from '../chains/pipelineModel';
-import { createRateMeter } from './createRateMeter';
+import { isLeaving } from './isLeaving';
+import { createCrossingMeter } from './createCrossingMeter';
+import type { GatewayWork, ServerLoad } from './gatewayWork';
 import type { StartTimes } from './createStartTimes';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
 
-/** Work of one VM on one backend server. */
-export interface ServerLoad {
-  /** Tokens times layers that running requests are expected to take. */
-  readonly reserved: number;
-  /** Requests that were sent there and are not over. */
-  readonly running: number;
-}
-
-export type ServerLoads = ReadonlyMap<string, ServerLoad>;
-
 /** A server that does not answer, until it does or starts anew. */
 export interface ServerSuspicion {
   readonly id: string;
@@ -25,6 +17,13 @@
   readonly sinceMs: number;
 }
 
+export interface ServerReport {
+  /** Step time against what its kind should take. */
+  readonly pace: number;
+  /** Part of the memory for requests that is taken, 0 to 1. */
+  readonly memoryShare: number;
+}
+
 export interface Reservation {
   readonly release: () => void;
 }
@@ -43,16 +42,28 @@
   readonly suspicions: () => readonly ServerSuspicion[];
   /** Gives a server nothing new for a while, without calling it lost. */
   readonly rest: (id: string, forMs: number) => void;
-  readonly notePace: (id: string, pace: number) => void;
+  /** Takes what an engine said of itself. */
+  readonly noteReport: (id: string, report: ServerReport) => void;
+  /** The engine has said something of itself lately. */
+  readonly hasReport: (id: string) => boolean;
   /** Notes that a stream which entered at this engine had an event. */
   readonly noteEvent: (id: string) => void;
   /** When a stream that entered there last had an event, monotonic, milliseconds. */
   readonly lastEventMs: (id: string) => number;
-  readonly reserve: (stages: readonly Stage[], tokens: number) => Reservation;
+  /** @param kept engines that hold the request's state already, so that nothing is sent between them */
+  readonly reserve: (
+    stages: readonly Stage[],
+    tokens: number,
+    kept?: ReadonlySet<string>,
+  ) => Reservation;
   /** Part of the links between failure domains in use by activations, over all VMs. */
   readonly crossingShare: (model: PipelineModel) => number;
-  readonly ownLoads: () => ServerLoads;
-  readonly learnLoads: (vm: string, loads: ServerLoads) => void;
+  /** Links between failure domains that a path crosses. */
+  readonly countCrossings: (stages: readonly Stage[]) => number;
+  readonly ownWork: () => GatewayWork;
+  /** Takes the work of one other VM, or the sum of several, known by a name. */
+  readonly learnWork: (source: string, work: GatewayWork) => void;
+  readonly forgetWork: (source: string) => void;
   readonly running: (id: string) => number;
   /** Part of an engine's memory for requests that is promised, over all VMs. */
   readonly loadShare: (id: string, model: PipelineModel) => number;
@@ -74,18 +85,18 @@
   ) => void;
 }
 
-/** Age at which another VM's loads no longer count, milliseconds: some heartbeats were missed. */
-const LOADS_VALID_MS = 3_000;
+/** Age at which another VM's work no longer counts, milliseconds: some heartbeats were missed. */
+const WORK_VALID_MS = 3_000;
 
 /** Age at which a reported pace no longer counts, milliseconds. */
 const PACE_VALID_MS = 4_000;
 
+/** Age at which reported memory no longer counts, milliseconds: requests end within about a second. */
+const MEMORY_VALID_MS = 800;
+
 /** Step time assumed for an engine whose kind is not known, against the reference kind. */
 const UNKNOWN_STEP_FACTOR = 16;
 
-/** Time over which the use of the links between failure domains is measured, milliseconds. */
-const CROSSING_WINDOW_MS = 1_000;
-
 const NO_LOAD: ServerLoad = { reserved: 0, running: 0 };
 
 /** Creates an empty board. */
@@ -95,29 +106,29 @@
   let byAddress = new Map<string, ListedServer>();
   const suspected = new Map<string, ServerSuspicion>();
   const restingUntil = new Map<string, number>();
-  const paces = new Map<string, { readonly pace: number; readonly atMs: number }>();
+  const reports = new Map<string, ServerReport & { readonly atMs: number }>();
   const eventsMs = new Map<string, number>();
   const own = new Map<string, ServerLoad>();
-  const others = new Map<string, { readonly loads: ServerLoads; readonly atMs: number }>();
+  const others = new Map<string, { readonly work: GatewayWork; readonly atMs: number }>();
   const changeListeners: (() => void)[] = [];
   const lostListeners: ((id: string) => void)[] = [];
   const leavingListeners: ((id: string) => void)[] = [];
 
-  const crossings = createRateMeter(CROSSING_WINDOW_MS);
-  const countCrossings = (stages: readonly Stage[]): number =>
-    stages.filter((stage, index) => {
-      const before = listed.get(stages[index - 1]?.id ?? '')?.failureDomain;
-      return before !== undefined && before !== listed.get(stage.id)?.failureDomain;
-    }).length;
-
+  const crossings = createCrossingMeter({
+    domainOf: (id) => listed.get(id)?.failureDomain,
+    now,
+  });
   const notifyChange = (): void => {
     for (const listener of changeListeners) listener();
   };
+  const recentWork = (): readonly GatewayWork[] => {
+    const oldest = now() - WORK_VALID_MS;
+    return [...others.values()].flatMap(({ work, atMs }) => (atMs < oldest ? [] : work));
+  };
   const totalLoad = (id: string): ServerLoad => {
-    const oldest = now() - LOADS_VALID_MS;
     let { reserved, running } = own.get(id) ?? NO_LOAD;
-    for (const { loads, atMs } of others.values()) {
-      const load = atMs < oldest ? undefined : loads.get(id);
+    for (const { servers } of recentWork()) {
+      const load = servers.get(id);
       reserved += load?.reserved ?? 0;
       running += load?.running ?? 0;
     }
@@ -132,15 +143,20 @@
   const isUsable = ({ id, isDraining }: ListedServer): boolean =>
     !isDraining && !suspected.has(id) && (restingUntil.get(id) ?? 0) <= now();
   const paceOf = (id: string): number => {
-    const known = paces.get(id);
+    const known = reports.get(id);
     return known !== undefined && now() - known.atMs < PACE_VALID_MS ? known.pace : 1;
   };
+  const memoryShareOf = (id: string): number => {
+    const known = reports.get(id);
+    return known !== undefined && now() - known.atMs < MEMORY_VALID_MS ? known.memoryShare : 0;
+  };
   const toChainEngine = (server: ListedServer, model: PipelineModel): ChainEngine | undefined => {
     const { id, address, failureDomain, layers, slots } = server;
     if (layers === undefined) return undefined;
     const kind = model.kinds.get(server.kind ?? '');
     const held = layers.to - layers.from;
     const freeMb = (kind?.memoryMb ?? 0) - held * model.layerMb;
+    const capacity = Math.max(1, freeMb / model.tokenLayerMb);
     const { reserved, running } = totalLoad(id);
     const stepFactor = (kind?.stepFactor ?? UNKNOWN_STEP_FACTOR) * paceOf(id);
     return {
@@ -149,29 +165,36 @@
       failureDomain,
       layers,
       layerStepMs: (stepFactor * model.stepMs) / model.layers,
-      capacity: Math.max(1, freeMb / model.tokenLayerMb),
-      reserved,
+      capacity,
+      // Work that no living VM knows of is only in the engine's own report.
+      reserved: Math.max(reserved, memoryShareOf(id) * capacity),
       entered: running,
       slots,
       startDelayMs: startTimes.predictMs(id),
     };
   };
+  const noteLayers = ({ id, layers }: ListedServer): void => {
+    const before = listed.get(id);
+    if (before === undefined) return;
+    if (before.layers?.from === layers?.from && before.layers?.to === layers?.to) return;
+    onBelief('engine layers', { server: id, from: layers?.from ?? 0, to: layers?.to ?? 0 });
+  };
   const noteLeaving = (servers: ReadonlyMap<string, ListedServer>): readonly string[] =>
     [...listed.values()]
-      .filter((server) => !server.isDraining)
-      .filter(({ id }) => servers.get(id)?.isDraining ?? true)
+      .filter((server) => !server.isDraining && isLeaving(server, servers.get(server.id)))
       .map(({ id }) => id);
 
   return {
     list: (servers) => {
       const next = new Map(servers.map((server) => [server.id, server]));
       const leaving = noteLeaving(next);
+      for (const server of servers) noteLayers(server);
       for (const [id, suspicion] of suspected) {
         const server = next.get(id);
         if (server?.bornMs !== suspicion.bornMs) suspected.delete(id);
       }
       for (const id of restingUntil.keys()) if (!next.has(id)) restingUntil.delete(id);
-      for (const id of paces.keys()) if (!next.has(id)) paces.delete(id);
+      for (const id of reports.keys()) if (!next.has(id)) reports.delete(id);
       for (const id of eventsMs.keys()) if (!next.has(id)) eventsMs.delete(id);
       listed = next;
       byAddress = new Map(servers.map((server) => [server.address, server]));
@@ -204,19 +227,26 @@
     rest: (id, forMs) => {
       restingUntil.set(id, now() + forMs);
     },
-    notePace: (id, pace) => {
-      paces.set(id, { pace, atMs: now() });
+    noteReport: (id, { pace, memoryShare }) => {
+      reports.set(id, { pace, memoryShare, atMs: now() });
+    },
+    hasReport: (id) => {
+      const known = reports.get(id);
+      return known !== undefined && now() - known.atMs < PACE_VALID_MS;
     },
     noteEvent: (id) => {
       eventsMs.set(id, now());
     },
     lastEventMs: (id) => eventsMs.get(id) ?? Number.NEGATIVE_INFINITY,
     crossingShare: (model) => {
-      const bytesPerMs = (crossings.perMs(now()) * model.activationBytes) / model.domainBytesPerMs;
-      return bytesPerMs * (1 + others.size);
+      const tokensPerMs = recentWork().reduce(
+        (sum, { crossingPerMs }) => sum + crossingPerMs,
+        crossings.perMs(),
+      );
+      return (tokensPerMs * model.activationBytes) / model.domainBytesPerMs;
     },
-    reserve: (stages, tokens) => {
-      crossings.add(countCrossings(stages) * tokens, now());
+    reserve: (stages, tokens, kept) => {
+      crossings.add(stages, tokens, kept);
       const parts = stages.map(({ id, layers }) => ({
         id,
         amount: (layers.to - layers.from) * tokens,
@@ -233,9 +263,13 @@
         },
       };
     },
-    ownLoads: () => own,
-    learnLoads: (vm, loads) => {
-      others.set(vm, { loads, atMs: now() });
+    countCrossings: crossings.count,
+    ownWork: () => ({ servers: own, crossingPerMs: crossings.perMs() }),
+    learnWork: (source, work) => {
+      others.set(source, { work, atMs: now() });
+    },
+    forgetWork: (source) => {
+      others.delete(source);
     },
     running: (id) => totalLoad(id).running,
     loadShare: (id, model) => {
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -10,8 +10,14 @@
 export interface ServerProbes {
   /** Asks one server and updates the board by what it says. */
   readonly ask: (id: string) => Promise<ReportResult>;
-  /** Asks every suspected server again. */
-  readonly recheck: () => void;
+  /**
+   * Asks the servers that have said nothing of themselves lately.
+   *
+   * @returns whether there were any
+   */
+  readonly askUnknown: (ids: readonly string[]) => Promise<boolean>;
+  /** Asks every suspected server again that was not asked for so long, milliseconds. */
+  readonly recheck: (intervalMs: number) => void;
 }
 
 export interface ServerProbeOptions {
@@ -25,6 +31,13 @@
 /** Time for which one answer serves all who ask, milliseconds; reports lag by more. */
 const SHARED_MS = 100;
 
+/** Pace and memory from which a report is logged: it may be why a request was turned away. */
+const SLOW_PACE = 1.5;
+const CROWDED_SHARE = 0.8;
+
+/** Time for which an answer is remembered, milliseconds: longer than any interval of rechecks. */
+const REMEMBERED_MS = 5_000;
+
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
   const { board, protocol, now, log } = options;
@@ -38,8 +51,10 @@
     const result = await protocol.fetchReport(server.address);
     if (result.type === 'report') {
       const { pace, queued, running, memoryShare } = result.report;
-      board.notePace(id, pace);
-      log('engine reports', { server: id, pace, queued, running, memoryShare });
+      board.noteReport(id, { pace, memoryShare });
+      if (pace >= SLOW_PACE || memoryShare >= CROWDED_SHARE) {
+        log('engine reports', { server: id, pace, queued, running, memoryShare });
+      }
       const isSame = server.bornMs === 0 || result.report.bornMs === server.bornMs;
       if (isSame) board.clear(id);
       else board.suspect(id, 'restarted');
@@ -55,9 +70,16 @@
   };
   return {
     ask,
-    recheck: () => {
-      for (const { id } of board.suspicions()) void ask(id);
-      for (const [id, { atMs }] of asked) if (now() - atMs > SHARED_MS) asked.delete(id);
+    askUnknown: async (ids) => {
+      const unknown = ids.filter((id) => !board.hasReport(id));
+      await Promise.all(unknown.map(ask));
+      return unknown.length > 0;
+    },
+    recheck: (intervalMs) => {
+      for (const { id } of board.suspicions()) {
+        if (now() - (asked.get(id)?.atMs ?? Number.NEGATIVE_INFINITY) >= intervalMs) void ask(id);
+      }
+      for (const [id, { atMs }] of asked) if (now() - atMs > REMEMBERED_MS) asked.delete(id);
     },
   };
 }
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -23,6 +23,8 @@
   readonly response: ServerResponse;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
+  /** The caller has asked before, so that its answer is late already. */
+  readonly isReturning: boolean;
   /** When the caller's deadline or the route's timeout ends it, monotonic, milliseconds. */
   readonly expiresMs: number;
   /** Notes that a server may have the request from now on. */
@@ -47,6 +49,8 @@
   readonly failureDomain: string;
   /** Time for which a leaving backend server still serves, milliseconds. */
   readonly drainMs: number;
+  /** This VM has just started, and knows little of the work on the backend servers. */
+  readonly isNewcomer: () => boolean;
   /** VMs that choose among the same backend servers. */
   readonly vms: () => number;
   /** Monotonic clock, milliseconds. */
--- a/src/node/gatewaySettings.test.ts
+++ b/src/node/gatewaySettings.test.ts
@@ -5,11 +5,13 @@
 name = "front-1"
 failure_domain = "a"
 region = "r"
+cores = 0.675
 [listen]
 callers = "10.0.0.1:80"
 readiness = "10.0.0.1:81"
 directory = "10.0.0.1:82"
 peers = "10.0.0.1:83"
+tables = "10.0.0.1:85"
 metrics = "10.0.0.1:84"
 [store]
 address = "10.0.0.9:90"
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -11,12 +11,16 @@
     name: z.string().min(1),
     failure_domain: z.string().min(1),
     region: z.string(),
+    /** Processor time that the VM may use, cores. */
+    cores: z.number().positive(),
   }),
   listen: z.object({
     callers: address,
     readiness: address,
     directory: address,
     peers: address,
+    /** Where other VMs follow the tables that this one knows. */
+    tables: address,
     metrics: address,
   }),
   store: z.object({ address }),
--- a/src/node/parsePeerRecord.ts
+++ b/src/node/parsePeerRecord.ts
@@ -8,7 +8,9 @@
   incarnation: z.string(),
   callerAddress: z.string(),
   peerAddress: z.string(),
+  tableAddress: z.string(),
   failureDomain: z.string(),
+  cores: z.number(),
 });
 
 /** @returns undefined where the text is no record */
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -15,7 +15,6 @@
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
-import { followTable } from '../adapters/gateway/followTable';
 import type { Catalog } from '../catalog/catalog';
 import type { ClockReading } from '../catalog/confirmation';
 import { createServerBoard } from '../gateway/createServerBoard';
@@ -24,14 +23,16 @@
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createServiceBudgets } from '../gateway/createServiceBudgets';
 import type { GatewayHost, LogFields } from '../gateway/job';
+import { followTimes } from '../peers/followTimes';
+import type { FollowTimes } from '../peers/followTimes';
 import { chooseAddresses } from '../peers/listLivePeers';
 import type { PeerRecord } from '../peers/peer';
-import { settleTime } from '../peers/settleTime';
 import { createGatewayMetrics } from './createGatewayMetrics';
+import { createTableFollowing } from './createTableFollowing';
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
 import { openSideListeners } from './openSideListeners';
-import { parsePeerRecord } from './parsePeerRecord';
+import { followMembership } from './followMembership';
 import { waitUntil } from './waitUntil';
 import type { GatewaySettings } from './gatewaySettings';
 
@@ -42,9 +43,6 @@
   readonly reload: (read: () => GatewaySettings) => void;
 }
 
-/** Longest wait for a change of the VMs' own table, milliseconds. */
-const OWN_WAIT_MS = 8_000;
-
 /** Part of the time in which a credential must be gone that may pass without confirmation. */
 const CONFIRMED_SHARE = 0.85;
 
@@ -60,6 +58,12 @@
 /** Time between looks at the placement and at suspected servers, milliseconds. */
 const DUTY_INTERVAL_MS = 250;
 
+/** Time between questions to a suspected server of a VM whose relays ask it too, milliseconds. */
+const SERVED_RECHECK_MS = 3_000;
+
+/** Time for which a VM that started asks engines before it uses them, milliseconds: some heartbeats. */
+const NEWCOMER_MS = 2_500;
+
 /** Looks between two tries to register, two seconds: a store that is away is not pressed. */
 const REGISTER_DUTIES = 8;
 
@@ -72,8 +76,10 @@
 /** Part of the grace left unused before the process would be killed, milliseconds. */
 const GRACE_MARGIN_MS = 300;
 
+/** Length of an incarnation's id: short in every heartbeat, and lives of one VM still differ. */
+const INCARNATION_CHARS = 8;
+
 const EXECUTOR_KEY = 'executor';
-const PEER_PREFIX = 'vm/';
 const MS_PER_SECOND = 1_000;
 
 /** Starts to listen and to follow the store. */
@@ -96,25 +102,36 @@
   const probes = createServerProbes({ board, protocol, now, log: write });
   const self: PeerRecord = {
     vm: settings.vm.name,
-    incarnation: randomUUID(),
+    incarnation: randomUUID().slice(0, INCARNATION_CHARS),
     callerAddress: settings.listen.callers,
     peerAddress: settings.listen.peers,
+    tableAddress: settings.listen.tables,
     failureDomain: settings.vm.failure_domain,
+    cores: settings.vm.cores,
   };
+  const startedMs = now();
   write('started', { incarnation: self.incarnation, pid: process.pid });
 
   let stoppingMs: number | undefined;
   const health = createStoreHealth(now, write);
   const clock = (): ClockReading => ({ monotonicMs: now(), wallMs: Date.now() });
-  const common = { store, health, log: write, now, clock, random: Math.random };
+  const times = (): FollowTimes => followTimes(peers.size());
+  const following = createTableFollowing({
+    store,
+    vm: self.vm,
+    relays: () => peers.relays(),
+    times,
+    health,
+    now,
+    clock,
+    log: write,
+  });
   const published = followCatalog({
-    ...common,
-    table: platform.catalogTable,
+    ...following.of(platform.catalogTable, () => times().catalogWaitMs),
     decodeCatalog: platform.decodeCatalog,
     onCatalog: (catalog) => {
       applyLimits(callers, catalog);
     },
-    vms: () => peers.size(),
     limitMs: () => settings.credentials.revoke_ms * CONFIRMED_SHARE,
   });
   const isAccepting = (): boolean =>
@@ -132,6 +149,9 @@
       const isKnown = board.suspicions().some((suspicion) => suspicion.id === id);
       if (server?.bornMs === bornMs && !isKnown) void probes.ask(id);
     },
+    onAnswering: (id) => {
+      if (board.suspicions().some((suspicion) => suspicion.id === id)) void probes.ask(id);
+    },
     now,
     log: write,
   });
@@ -150,6 +170,7 @@
     probes,
     watch: createStreamWatch(board),
     startTimes,
+    isNewcomer: () => now() - startedMs < NEWCOMER_MS,
     vms: peers.size,
     failureDomain: self.failureDomain,
     drainMs: settings.servers.drain_ms,
@@ -173,66 +194,47 @@
     table: platform.ownTable,
     key: EXECUTOR_KEY,
     self,
+    now,
     log: write,
   });
 
   followServers({
-    ...common,
-    table: platform.serverTable,
-    settleMs: () => settleTime(peers.size()),
+    ...following.of(platform.serverTable, () => times().serverWaitMs),
     decodeServer: platform.decodeServer,
     board,
   });
-  let isRegistered = false;
-  followTable({
-    ...common,
-    table: platform.ownTable,
-    waitMs: () => OWN_WAIT_MS,
-    settleMs: () => settleTime(peers.size()),
-    onRows: (rows) => {
-      const records = [...rows.values()].flatMap((row) =>
-        row.key.startsWith(PEER_PREFIX) ? (parsePeerRecord(row.value) ?? []) : [],
-      );
-      isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
-      peers.learnRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
-      claim.learnRow(rows.get(EXECUTOR_KEY));
-    },
-    onContact: health.succeeded,
-    onTrouble: health.failed,
+  const membership = followMembership({
+    ...following.of(platform.ownTable, () => times().peerWaitMs),
+    self,
+    peers,
+    claim,
+    executorKey: EXECUTOR_KEY,
   });
-  const register = async (): Promise<void> => {
-    const value = JSON.stringify(self);
-    const result = await store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value }]);
-    isRegistered = result.type === 'committed';
-    if (!isRegistered) write('registration failed', { result: result.type });
-  };
-  void register();
 
+  /** Relays ask suspected servers for their domain; the others hear from them who answers again. */
+  const recheckIntervalMs = (): number => {
+    const relays = peers.relays();
+    const isServed = relays.length > 0 && !relays.some(({ vm }) => vm === self.vm);
+    return isServed ? SERVED_RECHECK_MS : DUTY_INTERVAL_MS;
+  };
   let dutyCount = 0;
   let wasAccepting = false;
   const duty = setInterval(() => {
     dutyCount += 1;
     if (wasAccepting !== isAccepting()) peers.announce();
     wasAccepting = isAccepting();
-    if (board.suspicions().length > 0) probes.recheck();
+    if (board.suspicions().length > 0) probes.recheck(recheckIntervalMs());
     if (stoppingMs !== undefined) return;
-    if (!isRegistered && dutyCount % REGISTER_DUTIES === 0) void register();
+    if (!membership.isRegistered() && dutyCount % REGISTER_DUTIES === 0) void membership.register();
     if (claim.tick(peers.live()) && health.isFresh()) {
       placer.tick();
-      if (dutyCount % CLEANUP_DUTIES === 0) void removeDeparted();
+      if (dutyCount % CLEANUP_DUTIES === 0) void membership.removeDeparted();
     }
   }, DUTY_INTERVAL_MS);
-  const removeDeparted = async (): Promise<void> => {
-    for (const { vm } of peers.departed()) {
-      const result = await store.write(platform.ownTable, [
-        { key: PEER_PREFIX + vm, value: undefined },
-      ]);
-      write('departed VM removed', { peer: vm, result: result.type });
-    }
-  };
-
   const callers = createServer({ keepAliveTimeout: DEFAULT_IDLE_MS }, gateway.handle);
   listen(callers, settings.listen.callers);
+  const tables = createServer(following.relay.handle);
+  listen(tables, settings.listen.tables);
   const others = openSideListeners({
     listen: settings.listen,
     platform,
@@ -255,10 +257,7 @@
       stoppingMs = now();
       write('stopping', { active: gateway.active() });
       peers.announce();
-      const released = Promise.all([
-        claim.giveUp(),
-        store.write(platform.ownTable, [{ key: PEER_PREFIX + self.vm, value: undefined }]),
-      ]);
+      const released = Promise.all([claim.giveUp(), membership.unregister()]);
       const endMs = stoppingMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
       await waitUntil(
         () => now() >= endMs || (isClosing() && gateway.active() === 0),
@@ -268,7 +267,7 @@
       );
       clearInterval(duty);
       peers.close();
-      for (const server of [callers, ...others]) server.close();
+      for (const server of [callers, tables, ...others]) server.close();
       await Promise.race([released, new Promise((resolve) => setTimeout(resolve, 100))]);
       write('stopped', { active: gateway.active() });
     },
--- a/src/peers/heartbeatCodec.test.ts
+++ b/src/peers/heartbeatCodec.test.ts
@@ -6,8 +6,21 @@
       vm: 'front-1',
       incarnation: 'c0ffee',
       isAccepting: true,
-      loads: new Map([['engine-1', { reserved: 4_200, running: 3 }]]),
+      work: {
+        servers: new Map([['engine-1', { reserved: 4_200, running: 3 }]]),
+        crossingPerMs: 0.5,
+      },
       lost: [{ id: 'engine-2', bornMs: 1_700_000_000_000 }],
+      domains: [
+        {
+          failureDomain: 'a',
+          members: [{ vm: 'front-2', incarnation: 'f00', isAccepting: false, heardAgoMs: 120 }],
+          work: {
+            servers: new Map([['engine-3', { reserved: 9, running: 1 }]]),
+            crossingPerMs: 2,
+          },
+        },
+      ],
     };
     expect(decodeHeartbeat(encodeHeartbeat(heartbeat))).toEqual(heartbeat);
   });
--- a/src/peers/heartbeatCodec.ts
+++ b/src/peers/heartbeatCodec.ts
@@ -1,49 +1,95 @@
 /** Heartbeats on the wire: one MessagePack array a datagram, positions fixed. */
 
 import { decode, encode } from '@msgpack/msgpack';
-import type { ServerLoad } from '../gateway/createServerBoard';
+import * as z from 'zod';
+import type { GatewayWork } from '../gateway/gatewayWork';
 import type { Heartbeat } from './peer';
 
 /** First item of every heartbeat; raised when the positions change. */
-const FORMAT = 1;
+const FORMAT = 2;
+
+const loadSchema = z.tuple([z.string(), z.number(), z.number()]);
+
+const workSchema = z.tuple([z.array(loadSchema), z.number()]);
+
+const memberSchema = z.tuple([z.string(), z.string(), z.boolean(), z.number()]);
+
+const heartbeatSchema = z.tuple([
+  z.literal(FORMAT),
+  z.string(),
+  z.string(),
+  z.boolean(),
+  workSchema,
+  z.array(z.tuple([z.string(), z.number()])),
+  z.array(z.tuple([z.string(), z.array(memberSchema), workSchema])),
+]);
+
+type WorkItem = z.infer<typeof workSchema>;
 
 /** @returns the datagram */
 export function encodeHeartbeat(heartbeat: Heartbeat): Uint8Array {
-  const { vm, incarnation, isAccepting, loads, lost } = heartbeat;
-  const loadItems = [...loads].map(([id, { reserved, running }]) => [
+  const { vm, incarnation, isAccepting, work, lost, domains } = heartbeat;
+  return encode([
+    FORMAT,
+    vm,
+    incarnation,
+    isAccepting,
+    toItem(work),
+    lost.map(({ id, bornMs }) => [id, bornMs]),
+    domains.map((domain) => [
+      domain.failureDomain,
+      domain.members.map((member) => [
+        member.vm,
+        member.incarnation,
+        member.isAccepting,
+        Math.round(member.heardAgoMs),
+      ]),
+      toItem(domain.work),
+    ]),
+  ]);
+}
+
+/** @returns undefined where the datagram is no heartbeat of this format */
+export function decodeHeartbeat(datagram: Uint8Array): Heartbeat | undefined {
+  const checked = heartbeatSchema.safeParse(decodeDatagram(datagram));
+  if (!checked.success) return undefined;
+  const [, vm, incarnation, isAccepting, work, lost, domains] = checked.data;
+  return {
+    vm,
+    incarnation,
+    isAccepting,
+    work: toWork(work),
+    lost: lost.map(([id, bornMs]) => ({ id, bornMs })),
+    domains: domains.map(([failureDomain, members, domainWork]) => ({
+      failureDomain,
+      members: members.map(([name, life, accepts, heardAgoMs]) => ({
+        vm: name,
+        incarnation: life,
+        isAccepting: accepts,
+        heardAgoMs,
+      })),
+      work: toWork(domainWork),
+    })),
+  };
+}
+
+function toItem({ servers, crossingPerMs }: GatewayWork): WorkItem {
+  const loads = [...servers].map(([id, { reserved, running }]): WorkItem[0][number] => [
     id,
     Math.round(reserved),
     running,
   ]);
-  const lostItems = lost.map(({ id, bornMs }) => [id, bornMs]);
-  return encode([FORMAT, vm, incarnation, isAccepting, loadItems, lostItems]);
+  return [loads, crossingPerMs];
 }
 
-/** @returns undefined where the datagram is no heartbeat of this format */
-export function decodeHeartbeat(datagram: Uint8Array): Heartbeat | undefined {
-  const items = decodeArray(datagram);
-  if (items?.[0] !== FORMAT) return undefined;
-  const [, vm, incarnation, isAccepting, loadItems, lostItems] = items;
-  if (typeof vm !== 'string' || typeof incarnation !== 'string') return undefined;
-  if (!Array.isArray(loadItems) || !Array.isArray(lostItems)) return undefined;
-  const loads = new Map<string, ServerLoad>();
-  for (const item of loadItems as readonly unknown[]) {
-    if (!Array.isArray(item)) return undefined;
-    const [id, reserved, running] = item as readonly unknown[];
-    if (typeof id !== 'string' || typeof reserved !== 'number') return undefined;
-    loads.set(id, { reserved, running: typeof running === 'number' ? running : 0 });
-  }
-  const lost = (lostItems as readonly unknown[]).flatMap((item) => {
-    const [id, bornMs] = Array.isArray(item) ? (item as readonly unknown[]) : [];
-    return typeof id === 'string' && typeof bornMs === 'number' ? [{ id, bornMs }] : [];
-  });
-  return { vm, incarnation, isAccepting: isAccepting === true, loads, lost };
+function toWork([loads, crossingPerMs]: WorkItem): GatewayWork {
+  const servers = new Map(loads.map(([id, reserved, running]) => [id, { reserved, running }]));
+  return { servers, crossingPerMs };
 }
 
-function decodeArray(datagram: Uint8Array): readonly unknown[] | undefined {
+function decodeDatagram(datagram: Uint8Array): unknown {
   try {
-    const value = decode(datagram);
-    return Array.isArray(value) ? (value as readonly unknown[]) : undefined;
+    return decode(datagram);
   } catch {
     // Anyone can send to the port; what does not decode is no heartbeat.
     return undefined;
--- a/src/peers/listLivePeers.test.ts
+++ b/src/peers/listLivePeers.test.ts
@@ -7,7 +7,9 @@
   incarnation: `${vm}-1`,
   callerAddress: `${vm}:80`,
   peerAddress: `${vm}:70`,
+  tableAddress: `${vm}:71`,
   failureDomain,
+  cores: 1,
 });
 
 const view = (more: Partial<PeerView>): PeerView => ({
--- /dev/null
+++ b/src/peers/planHeartbeats.test.ts
@@ -0,0 +1,54 @@
+import type { PeerRecord } from './peer';
+import { planHeartbeats } from './planHeartbeats';
+
+const record = (vm: string): PeerRecord => ({
+  vm,
+  incarnation: `${vm}-1`,
+  callerAddress: `${vm}:80`,
+  peerAddress: `${vm}:70`,
+  tableAddress: `${vm}:71`,
+  failureDomain: vm.slice(0, 1),
+  cores: 1,
+});
+
+const fleet = (perDomain: number): readonly PeerRecord[] =>
+  ['a', 'b', 'c'].flatMap((domain) =>
+    Array.from({ length: perDomain }, (_, index) => record(`${domain}${index + 1}`)),
+  );
+
+const targets = (self: string, peers: readonly PeerRecord[], silent: readonly string[] = []) =>
+  planHeartbeats(record(self), peers, (vm) => silent.includes(vm)).map(
+    ({ peer, scope }) => `${peer.vm} ${scope}`,
+  );
+
+describe('planHeartbeats', () => {
+  it('tells everybody in a small fleet', () => {
+    expect(targets('a1', fleet(2))).toEqual(
+      ['a2', 'b1', 'b2', 'c1', 'c2'].map((vm) => `${vm} none`),
+    );
+  });
+
+  it('has a VM of a large fleet tell the relays of its domain', () => {
+    expect(targets('a5', fleet(6))).toEqual(['a1 none', 'a2 none']);
+  });
+
+  it('has a relay tell its domain all, and the other relays about its domain', () => {
+    expect(targets('a1', fleet(6))).toEqual([
+      'a2 none',
+      ...['a3', 'a4', 'a5', 'a6'].map((vm) => `${vm} all`),
+      ...['b1', 'b2', 'c1', 'c2'].map((vm) => `${vm} own`),
+    ]);
+  });
+
+  it('goes on with other relays where both fell silent', () => {
+    expect(targets('a5', fleet(6), ['a1', 'a2'])).toEqual(['a3 none', 'a4 none']);
+    expect(targets('a3', fleet(6), ['a1', 'a2'])).toContain('a5 all');
+  });
+
+  it('sends datagrams in proportion to the fleet', () => {
+    const sent = (perDomain: number): number =>
+      fleet(perDomain).reduce((sum, { vm }) => sum + targets(vm, fleet(perDomain)).length, 0);
+    expect(sent(40)).toBe(486);
+    expect(sent(80)).toBe(966);
+  });
+});
