--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -4,7 +4,8 @@
  */
 
 import { crossingCost } from '../../chains/crossingCost';
-import type { Stage } from '../../chains/layerEngine';
+import type { ListedServer, Stage } from '../../chains/layerEngine';
+import type { LayerRange } from '../../engines/engine';
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { replaceStages } from '../../chains/replaceStages';
 import type { OrderResult } from '../../gateway/backendProtocol';
@@ -86,10 +87,22 @@
     }
     const status = result.type === 'rejected' ? result.status : undefined;
     const address = result.type === 'rejected' ? result.address : undefined;
-    host.log('chain repair failed', { id: job.head.id, result: result.type, status, address });
     const blamed = board.findByAddress(address ?? '');
-    if (blamed !== undefined) board.rest(blamed.id, REPAIR_REST_MS);
-    else if (status === NO_SUCH_RUN && options.hasEvents()) options.onBroken('run is gone');
+    host.log('chain repair failed', {
+      id: job.head.id,
+      result: result.type,
+      status,
+      address,
+      server: blamed?.id,
+      wasKept: stages.some((stage) => stage.address === address),
+      isEntry: entry?.address === address,
+      isDraining: blamed?.isDraining,
+    });
+    if (blamed !== undefined) {
+      board.rest(blamed.id, REPAIR_REST_MS);
+      // Its own report keeps the next path from it for as long as it is full.
+      void host.probes.ask(blamed.id);
+    } else if (status === NO_SUCH_RUN && options.hasEvents()) options.onBroken('run is gone');
   };
   /** Engines of the chain that are suspected, or that the first engine waits for. */
   const findLost = (waitedFor: ReadonlySet<string>): ReadonlySet<string> => {
@@ -97,10 +110,16 @@
     const lost = stages.filter(({ id, address }) => suspected.has(id) || waitedFor.has(address));
     return new Set(lost.map(({ id }) => id));
   };
+  /** Engines after the first that take no part in a new path: they drain, or gave up their layers. */
+  const findLeaving = (): readonly string[] =>
+    stages
+      .slice(1)
+      .filter(({ id, layers }) => !mayServe(board.find(id), layers))
+      .map(({ id }) => id);
   const repair = async (blamed: ReadonlySet<string>, cause: string): Promise<void> => {
     if (isOver() || isRepairing || model === undefined || entry === undefined) return;
-    // A path that still names another lost engine is rejected as a whole.
-    const lost = new Set([...blamed, ...findLost(new Set())]);
+    // A path that still names another engine that is lost or leaving is rejected as a whole.
+    const lost = new Set([...blamed, ...findLost(new Set()), ...findLeaving()]);
     if (lost.has(entry.id)) {
       options.onBroken(cause);
       return;
@@ -140,3 +159,8 @@
     },
   };
 }
+
+function mayServe(server: ListedServer | undefined, wanted: LayerRange): boolean {
+  if (server === undefined || server.isDraining || server.layers === undefined) return false;
+  return server.layers.from <= wanted.from && server.layers.to >= wanted.to;
+}
--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -28,6 +28,8 @@
   readonly relays: () => readonly PeerRecord[];
   /** Tells all peers at once, outside the usual rhythm. */
   readonly announce: () => void;
+  /** The same in a moment, for changes that may come several at a time. */
+  readonly announceSoon: () => void;
   /** Records of VMs that have been silent for long. */
   readonly departed: () => readonly PeerRecord[];
   readonly close: () => void;
@@ -61,8 +63,8 @@
 /** Heartbeats for each one that goes to the relays of other failure domains. */
 const BEATS_PER_FAR_BEAT = 2;
 
-/** Pause before a change is passed on, milliseconds: VMs often change together. */
-const PASS_ON_MS = 60;
+/** Pause before a change is told ahead of a heartbeat, milliseconds: changes often come together. */
+const SOON_MS = 40;
 
 /** Heartbeats that may be missed in a row before a VM counts as gone. */
 const MISSED_HEARTBEATS = 5;
@@ -154,17 +156,17 @@
       socket.send(datagram, Number(peerPort), peerHost, () => undefined);
     }
   };
-  let passingOn: NodeJS.Timeout | undefined;
+  let announcing: NodeJS.Timeout | undefined;
+  const announceSoon = (): void => {
+    announcing ??= setTimeout(() => {
+      announcing = undefined;
+      announce();
+    }, SOON_MS);
+  };
   /** Tells others of a change ahead of the next heartbeat, where they hear of it through this VM. */
   const passOn = (): void => {
-    const isRelay = planHeartbeats(self, records, relayWatch.isSilent).some(
-      ({ scope }) => scope !== 'none',
-    );
-    if (!isRelay || passingOn !== undefined) return;
-    passingOn = setTimeout(() => {
-      passingOn = undefined;
-      announce();
-    }, PASS_ON_MS);
+    const targets = planHeartbeats(self, records, relayWatch.isSilent);
+    if (targets.some(({ scope }) => scope !== 'none')) announceSoon();
   };
   const noteHeard = (vm: string, word: HeardPeer): void => {
     const known = heard.get(vm);
@@ -242,6 +244,7 @@
     relays: () =>
       isRelayed() ? chooseRelays(records, self.failureDomain, relayWatch.isSilent) : [],
     announce,
+    announceSoon,
     departed: () =>
       records.filter(({ vm, incarnation }) => {
         const lastMs = Math.max(heard.get(vm)?.heardMs ?? 0, firstSeenMs.get(incarnation) ?? now());
@@ -249,7 +252,7 @@
       }),
     close: () => {
       clearTimeout(timer);
-      clearTimeout(passingOn);
+      clearTimeout(announcing);
       socket.close();
     },
   };
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -30,9 +30,12 @@
   /** The caller left or its time is up. */
   | { readonly type: 'stopped' };
 
-/** Pause before a move that failed is tried again, milliseconds: other requests end meanwhile. */
+/** Pause before a move that failed is tried again, milliseconds, doubled each time: orders are dear. */
 const MOVE_AGAIN_MS = 400;
 
+/** Moves that are tried; a stream that finds no room until then mostly ends before there is some. */
+const MAX_MOVES = 3;
+
 export interface StreamAttemptOptions {
   readonly job: Job;
   /** Undefined for a service whose servers answer alone. */
@@ -175,13 +178,14 @@
     });
   };
 
-  /** Moves the stream off an engine, again and again while no other has room for its part. */
-  const moveOff = (id: string, delayMs: number): void => {
+  /** Moves the stream off an engine, and tries again where no other had room for its part. */
+  const moveOff = (id: string, delayMs: number, moved = 1): void => {
     const timer = setTimeout(() => {
       moves.delete(timer);
       if (isOver || !chain.includes(id)) return;
       void chain.repair(new Set([id]), 'engine leaving').then(() => {
-        if (!isOver && chain.includes(id)) moveOff(id, MOVE_AGAIN_MS);
+        if (isOver || !chain.includes(id) || moved >= MAX_MOVES) return;
+        moveOff(id, MOVE_AGAIN_MS * 2 ** (moved - 1), moved + 1);
       });
     }, delayMs);
     moves.add(timer);
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -22,7 +22,7 @@
 const MAX_START_TARGETS = 1.5;
 
 /** Longest wait of a caller that has asked before, milliseconds: late already, it may not ask again. */
-const RETURNING_WAIT_MS = 1_000;
+const RETURNING_WAIT_MS = 400;
 
 /** Longest wait of a stream that has begun for room to go on, milliseconds; callers leave soon after. */
 const RESUME_WAIT_MS = 1_200;
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -28,8 +28,11 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Time for which one answer serves all who ask, milliseconds; reports lag by more. */
-const SHARED_MS = 100;
+/** Time for which a report serves all who ask, milliseconds: while chains stall, all streams ask. */
+const REPORT_SHARED_MS = 400;
+
+/** Time for which a question that had no answer serves all who ask, milliseconds. */
+const SILENCE_SHARED_MS = 100;
 
 /** Pace and memory from which a report is logged: it may be why a request was turned away. */
 const SLOW_PACE = 1.5;
@@ -38,13 +41,17 @@
 /** Time for which an answer is remembered, milliseconds: longer than any interval of rechecks. */
 const REMEMBERED_MS = 5_000;
 
+interface Question {
+  readonly atMs: number;
+  /** Time for which nobody else has to ask, milliseconds. */
+  readonly sharedMs: number;
+  readonly result: Promise<ReportResult>;
+}
+
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
   const { board, protocol, now, log } = options;
-  const asked = new Map<
-    string,
-    { readonly atMs: number; readonly result: Promise<ReportResult> }
-  >();
+  const asked = new Map<string, Question>();
   const fetch = async (id: string): Promise<ReportResult> => {
     const server = board.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
@@ -63,9 +70,13 @@
   };
   const ask = (id: string): Promise<ReportResult> => {
     const known = asked.get(id);
-    if (known !== undefined && now() - known.atMs < SHARED_MS) return known.result;
+    if (known !== undefined && now() - known.atMs < known.sharedMs) return known.result;
     const result = fetch(id);
-    asked.set(id, { atMs: now(), result });
+    const question = { atMs: now(), sharedMs: SILENCE_SHARED_MS, result };
+    asked.set(id, question);
+    void result.then(({ type }) => {
+      if (type === 'report') asked.set(id, { ...question, sharedMs: REPORT_SHARED_MS });
+    });
     return result;
   };
   return {
--- a/src/gateway/createServiceBudgets.test.ts
+++ b/src/gateway/createServiceBudgets.test.ts
@@ -1,6 +1,6 @@
 import { createServiceBudgets } from './createServiceBudgets';
 
-const limits = { ratio: 0.2, extra: 196, windowMs: 10_000 };
+const limits = () => ({ ratio: 0.2, extra: 196, windowMs: 10_000 });
 
 /** Retries that one VM of six grants while it serves its part of 87 requests a second. */
 const grant = (seconds: number): number => {
--- a/src/gateway/createServiceBudgets.ts
+++ b/src/gateway/createServiceBudgets.ts
@@ -10,7 +10,8 @@
 }
 
 export interface ServiceBudgetOptions {
-  readonly limits: RetryBudgetLimits;
+  /** In force now; settings may change while requests run. */
+  readonly limits: () => RetryBudgetLimits;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   /** VMs that share the budgets. */
@@ -30,18 +31,18 @@
   const budgets = new Map<string, RetryBudget>();
   const startedMs = now();
   const budgetOf = (service: string): RetryBudget => {
-    const spent = (limits.extra * SPENT_AT_START) / Math.max(1, vms());
+    const spent = (limits().extra * SPENT_AT_START) / Math.max(1, vms());
     return budgets.get(service) ?? [{ startMs: startedMs, requests: 0, retries: spent }];
   };
   const note = (service: string, entry: 'requests' | 'retries'): void => {
-    budgets.set(service, noteRetryBudget(budgetOf(service), entry, now(), limits));
+    budgets.set(service, noteRetryBudget(budgetOf(service), entry, now(), limits()));
   };
   return {
     noteRequest: (service) => {
       note(service, 'requests');
     },
     takeRetry: (service) => {
-      if (!allowsRetry(budgetOf(service), now(), vms(), limits)) return false;
+      if (!allowsRetry(budgetOf(service), now(), vms(), limits())) return false;
       note(service, 'retries');
       return true;
     },
--- a/src/gateway/judgeSilence.test.ts
+++ b/src/gateway/judgeSilence.test.ts
@@ -14,11 +14,13 @@
 
 describe('judgeSilence', () => {
   it('waits through ordinary gaps', () => {
-    expect(judgeSilence(silence({ silentMs: 99 }))).toBe('wait');
+    expect(judgeSilence(silence({ silentMs: 69, meanGapMs: 30 }))).toBe('wait');
+    expect(judgeSilence(silence({ silentMs: 129, meanGapMs: 60 }))).toBe('wait');
   });
 
-  it('asks the engines before a pause is long enough to be late', () => {
-    expect(judgeSilence(silence({ silentMs: 121 }))).toBe('probe');
+  it('asks the engines while a replacement can still read the request within the target', () => {
+    expect(judgeSilence(silence({ silentMs: 89 }))).toBe('probe');
+    expect(judgeSilence(silence({ silentMs: 71, meanGapMs: 30 }))).toBe('probe');
   });
 
   it('does not ask again at once', () => {
--- a/src/gateway/judgeSilence.ts
+++ b/src/gateway/judgeSilence.ts
@@ -24,10 +24,13 @@
 export type SilenceVerdict = 'wait' | 'probe' | 'give-up';
 
 /** Multiple of the mean gap that stands out. */
-const UNUSUAL_GAPS = 3;
+const UNUSUAL_GAPS = 2.2;
 
-/** Part of the target gap that has to pass in silence, so that ordinary jitter asks nobody. */
-const PROBE_SHARE = 0.5;
+/**
+ * Part of the target gap that has to pass in silence, so that ordinary jitter asks nobody; the rest is
+ * left for the answer, the order, and the replacement to read the request.
+ */
+const PROBE_SHARE = 0.35;
 
 /** Part of the first event's target that has to pass before the engines are asked. */
 const FIRST_PROBE_SHARE = 0.7;
--- a/src/gateway/planDeparture.ts
+++ b/src/gateway/planDeparture.ts
@@ -16,11 +16,11 @@
   readonly draw: number;
 }
 
-/** Part of the drain time in which streams end or move; the rest covers late word of the leaving. */
-const USED_SHARE = 0.7;
+/** Part of the drain time in which streams end or move; servers stay a little longer than they must. */
+const USED_SHARE = 0.95;
 
 /** Part of the used time after which moves begin; until then many streams end by themselves. */
-const FIRST_MOVE_SHARE = 0.2;
+const FIRST_MOVE_SHARE = 0.6;
 
 /** @returns milliseconds until the move, undefined where the stream will have ended by then */
 export function planDeparture(departure: Departure): number | undefined {
--- a/src/node/openSideListeners.ts
+++ b/src/node/openSideListeners.ts
@@ -14,7 +14,7 @@
   readonly isReady: () => boolean;
   readonly addressesFor: (failureDomain: string | undefined) => readonly string[];
   /** Validity of an address answer, milliseconds. */
-  readonly validMs: number;
+  readonly validMs: () => number;
 }
 
 /** Opens one listener for each distinct address; all answer the same paths. */
@@ -28,7 +28,7 @@
       const addresses = addressesFor(query.failureDomain);
       const isKnown = addresses.length > 0;
       response.writeHead(isKnown ? 200 : 503, { 'content-type': 'application/json' });
-      response.end(isKnown ? platform.encodeAddresses(addresses, validMs) : '{}');
+      response.end(isKnown ? platform.encodeAddresses(addresses, validMs()) : '{}');
     } else if (platform.isReadinessPath(path)) {
       response.writeHead(isReady() ? 200 : 503);
       response.end();
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -155,15 +155,17 @@
     now,
     log: write,
   });
+  // Other VMs' streams run over the same engine; each learns of its loss before its own pause stands out.
+  board.onLost(peers.announceSoon);
   const host: GatewayHost = {
     protocol,
     board,
     budgets: createServiceBudgets({
-      limits: {
+      limits: () => ({
         ratio: settings.retries.ratio,
         extra: settings.retries.extra,
         windowMs: settings.retries.window_s * MS_PER_SECOND,
-      },
+      }),
       now,
       vms: () => peers.size(),
     }),
@@ -241,7 +243,7 @@
     metrics,
     isReady: isAccepting,
     addressesFor: (failureDomain) => chooseAddresses(peers.live(), failureDomain, MAX_ADDRESSES),
-    validMs: Math.min(ADDRESS_VALID_MS, settings.directory.max_validity_s * MS_PER_SECOND),
+    validMs: () => Math.min(ADDRESS_VALID_MS, settings.directory.max_validity_s * MS_PER_SECOND),
   });
 
   return {
