Name members and far work in every fourth heartbeat; say clearly which address is in use

Cause: a relay of 81 VMs would send 1.16 MB/s of heartbeats, more than half of the smallest links of the grown sites (14 Mbit/s) where no VM has more. What is kept of VMs without a record is dropped. Tests: peer group over loopback (work counted once, a relay that goes, a loss passed on), digests, listen.

--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -10,6 +10,7 @@
 import type { LogFields } from '../../gateway/job';
 import { chooseRelays, isRelayedFleet } from '../../peers/chooseRelays';
 import { addWork, subtractWork } from '../../peers/combineWork';
+import { createDigestBook } from '../../peers/createDigestBook';
 import { createRelayWatch } from '../../peers/createRelayWatch';
 import { digestDomain } from '../../peers/digestDomain';
 import { decodeHeartbeat, encodeHeartbeat } from '../../peers/heartbeatCodec';
@@ -63,6 +64,9 @@
 /** Heartbeats for each one that goes to the relays of other failure domains. */
 const BEATS_PER_FAR_BEAT = 2;
 
+/** Heartbeats to the own domain for each one that names the VMs and the work of other domains too. */
+const BEATS_PER_FULL_BEAT = 4;
+
 /** Pause before a change is told ahead of a heartbeat, milliseconds: changes often come together. */
 const SOON_MS = 40;
 
@@ -87,7 +91,7 @@
   const socket = createSocket('udp4');
   const [host, port] = self.peerAddress.split(':');
   const relayWatch = createRelayWatch(now);
-  const domains = new Map<string, { readonly digest: DomainDigest; readonly atMs: number }>();
+  const digests = createDigestBook(now, WORK_VALID_MS);
   let beats = 0;
   /** Backend servers that each relay last named as lost. */
   const lostBy = new Map<string, ReadonlySet<string>>();
@@ -114,23 +118,21 @@
       nowMs: now(),
       validMs: WORK_VALID_MS,
     });
-  const farDigests = (): readonly DomainDigest[] =>
-    [...domains.values()]
-      .filter(({ digest }) => digest.failureDomain !== self.failureDomain)
-      .filter(({ atMs }) => now() - atMs < WORK_VALID_MS)
-      .map(({ digest, atMs }) => ({
-        ...digest,
-        members: digest.members.map((member) => ({
-          ...member,
-          heardAgoMs: member.heardAgoMs + now() - atMs,
-        })),
-      }));
-  const digestsFor: Readonly<Record<DigestScope, () => readonly DomainDigest[]>> = {
+  type Digests = (isFullBeat: boolean) => readonly DomainDigest[];
+  const digestsFor: Readonly<Record<DigestScope, Digests>> = {
     none: () => [],
     own: () => [ownDigest()],
-    all: () => [ownDigest(), ...farDigests()],
+    all: (isFullBeat) =>
+      isFullBeat
+        ? [ownDigest(), ...digests.listFar(self.failureDomain)]
+        : [{ ...ownDigest(), members: [] }],
   };
   const announce = (): void => {
+    // The next full heartbeat is this one: whoever announces out of turn has a change to tell.
+    beats = -1;
+    sendHeartbeats();
+  };
+  const sendHeartbeats = (): void => {
     const lost = board.suspicions().map(({ id, bornMs }) => ({ id, bornMs }));
     const targets = planHeartbeats(self, records, relayWatch.isSilent);
     relayWatch.check(targets.filter(({ isRelay }) => isRelay).map(({ peer }) => peer.vm));
@@ -138,6 +140,7 @@
     const datagrams = new Map<DigestScope, Uint8Array>();
     beats += 1;
     const isFarBeat = beats % BEATS_PER_FAR_BEAT === 0;
+    const isFullBeat = beats % BEATS_PER_FULL_BEAT === 0;
     for (const { peer, scope } of targets) {
       if (scope === 'own' && !isFarBeat) continue;
       const datagram =
@@ -148,7 +151,7 @@
           isAccepting: isAccepting(),
           work: sentWork,
           lost,
-          domains: digestsFor[scope](),
+          domains: digestsFor[scope](isFullBeat),
         });
       datagrams.set(scope, datagram);
       const [peerHost, peerPort] = peer.peerAddress.split(':');
@@ -189,7 +192,7 @@
       // Their work is part of the sum.
       board.forgetWork(vm);
     }
-    domains.set(failureDomain, { digest, atMs: nowMs });
+    digests.learn(digest);
     board.learnWork(failureDomain, isOwn ? subtractWork(work, sentWork) : work);
   };
   const learnOwnWord = ({ vm, incarnation, isAccepting: accepts, work }: Heartbeat): void => {
@@ -198,9 +201,9 @@
     board.forgetWork(self.failureDomain);
     board.learnWork(vm, work);
   };
-  const learnLost = ({ vm, lost, domains: digests }: Heartbeat): void => {
+  const learnLost = ({ vm, lost, domains }: Heartbeat): void => {
     for (const { id, bornMs } of lost) options.onLost(id, bornMs);
-    if (digests.length === 0) return;
+    if (domains.length === 0) return;
     const ids = new Set(lost.map(({ id }) => id));
     for (const id of lostBy.get(vm) ?? []) if (!ids.has(id)) options.onAnswering(id);
     lostBy.set(vm, ids);
@@ -219,16 +222,28 @@
   socket.bind(Number(port), host);
   let timer: NodeJS.Timeout;
   const beat = (): void => {
-    announce();
+    sendHeartbeats();
     timer = setTimeout(beat, intervalMs());
   };
   beat();
+  /** Drops what is kept of VMs that have no record and were not heard for long. */
+  const forgetDeparted = (): void => {
+    const incarnations = new Set(records.map(({ incarnation }) => incarnation));
+    for (const key of firstSeenMs.keys()) if (!incarnations.has(key)) firstSeenMs.delete(key);
+    const listed = new Set(records.map(({ vm }) => vm));
+    for (const [vm, { heardMs }] of heard) {
+      if (listed.has(vm) || now() - heardMs < DEPARTED_MS) continue;
+      heard.delete(vm);
+      lostBy.delete(vm);
+    }
+  };
   return {
     learnRecords: (next) => {
       records = next.some(({ vm }) => vm === self.vm) ? next : [...next, self];
       for (const { incarnation } of records) {
         if (!firstSeenMs.has(incarnation)) firstSeenMs.set(incarnation, now());
       }
+      forgetDeparted();
     },
     live: () =>
       listLivePeers({
--- /dev/null
+++ b/src/node/listen.test.ts
@@ -0,0 +1,17 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { listen } from './listen';
+
+describe('listen', () => {
+  it('names an address that is in use', async () => {
+    const first = createServer();
+    await new Promise<void>((resolve) => first.listen(0, '127.0.0.1', resolve));
+    const { port } = first.address() as AddressInfo;
+    const message = await new Promise<string>((resolve) => {
+      listen(createServer(), `127.0.0.1:${port}`, resolve);
+    });
+    first.close();
+    expect(message).toContain(`Cannot listen on 127.0.0.1:${port}`);
+    expect(message).toContain('EADDRINUSE');
+  });
+});
