--- a/platform/soak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -9,14 +9,16 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createRandom } from '../../src/random/createRandom';
-import { sendRequest, SOAK_HOST, SOAK_KEY, DEADLINE_MS } from './sendRequest';
+import { createConfiguration, LAYERS } from '../../platform/standins/createConfiguration';
+import { DEADLINE_MS, sendRequest } from '../../platform/standins/sendRequest';
+import type { CallerRequestKind } from '../../platform/standins/sendRequest';
+import { startEngine, STREAM_EVENTS } from '../../platform/standins/startEngine';
+import { startStore } from '../../platform/standins/startStore';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
-import type { SoakLedger, SoakRequestKind } from './soakLedger';
+import type { SoakLedger } from './soakLedger';
 import { createSoakLedger } from './soakLedger';
-import { startEngine, STREAM_EVENTS } from './startEngine';
 import { startGatewayProcess } from './startGatewayProcess';
-import { startStore } from './startStore';
 
 export interface FaultSoakOptions {
   readonly seed: number;
@@ -37,7 +39,6 @@
 }
 
 const GATEWAYS = 3;
-const LAYERS = 8;
 const DOMAINS = ['a', 'b', 'c'] as const;
 
 /** Mean pause between requests and between faults, and mean length of a fault, milliseconds. */
@@ -48,7 +49,7 @@
 /** Longest time for a fleet that is left alone to serve, milliseconds. */
 const RECOVERY_MS = 30_000;
 
-const KINDS: readonly SoakRequestKind[] = ['stream', 'stream', 'once', 'lookup'];
+const KINDS: readonly CallerRequestKind[] = ['stream', 'stream', 'once', 'lookup'];
 
 /** Plays the seed. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakRun> {
@@ -97,13 +98,14 @@
 
 async function startSite(ledger: SoakLedger, folder: string, program: string): Promise<SoakSite> {
   const store = await startStore();
+  const onRun = ledger.noteRun;
   const kinds = DOMAINS.flatMap((zone) => [zone, zone, zone].map((name) => ({ zone: name })));
   const engines = await Promise.all([
     ...kinds.map(({ zone }, index) =>
-      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, ledger }),
+      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, onRun }),
     ),
     ...DOMAINS.map((zone) =>
-      startEngine({ id: `p-${zone}`, service: 'desk', zone, kind: undefined, store, ledger }),
+      startEngine({ id: `p-${zone}`, service: 'desk', zone, kind: undefined, store, onRun }),
     ),
   ]);
   store.put('op', 'config', createConfiguration());
@@ -121,49 +123,6 @@
   return { store, engines, gateways };
 }
 
-function createConfiguration(): object {
-  const common = { host: SOAK_HOST, timeoutMs: 3_500, targetLatencyMs: 500, priority: 1 };
-  return {
-    version: 1,
-    routes: [
-      {
-        ...common,
-        name: 'stream',
-        prefix: '/stream/',
-        kind: 'streaming',
-        resumable: true,
-        targetGapMs: 200,
-        maxAttempts: 2,
-        service: 'draft',
-      },
-      { ...common, name: 'once', prefix: '/once/', kind: 'unsafe', service: 'desk' },
-      {
-        ...common,
-        name: 'look',
-        prefix: '/lookup/',
-        kind: 'safe',
-        maxAttempts: 2,
-        service: 'desk',
-      },
-    ],
-    services: [{ name: 'draft', engine: createEngineFigures() }, { name: 'desk' }],
-    limits: { maxBodyBytes: 10_000, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
-    tenants: [{ name: 'shop', apiKeys: [SOAK_KEY] }],
-  };
-}
-
-function createEngineFigures(): object {
-  return {
-    kvTokenBytes: 1_000,
-    models: [{ name: 'm', loadS: 0.2 }],
-    step_ms: 1,
-    usual: { prompt: 40, answer: 48 },
-    layers: LAYERS,
-    layerMb: 100,
-    kinds: [{ name: 'card', sizeMb: 320, pace: 1 }],
-  };
-}
-
 interface SoakCaller {
   /** Sends requests until one of each kind is answered whole, or the time is up. */
   readonly serves: (withinMs: number) => Promise<boolean>;
@@ -175,7 +134,7 @@
 function createCaller({ gateways }: SoakSite, ledger: SoakLedger, seed: number): SoakCaller {
   const random = createRandom(seed + 1);
   let sent = 0;
-  const ask = async (kind: SoakRequestKind): Promise<boolean> => {
+  const ask = async (kind: CallerRequestKind): Promise<boolean> => {
     sent += 1;
     const id = `${kind}-${sent}`;
     const first = random.integer(gateways.length);
@@ -193,7 +152,7 @@
   };
   const serves = async (withinMs: number): Promise<boolean> => {
     const untilMs = performance.now() + withinMs;
-    const missing = new Set<SoakRequestKind>(KINDS);
+    const missing = new Set<CallerRequestKind>(KINDS);
     while (missing.size > 0 && performance.now() < untilMs) {
       for (const kind of [...missing]) if (await ask(kind)) missing.delete(kind);
       await sleep(REQUEST_MS);
--- a/platform/soak/soakFaults.ts
+++ b/measurements/faultSoak/soakFaults.ts
@@ -1,9 +1,9 @@
 /** The faults of the soak: each begins at once and says how it is lifted. */
 
 import type { Random } from '../../src/random/createRandom';
-import type { EngineStandin } from './startEngine';
+import type { EngineStandin } from '../../platform/standins/startEngine';
 import type { GatewayProcess } from './startGatewayProcess';
-import type { StoreStandin } from './startStore';
+import type { StoreStandin } from '../../platform/standins/startStore';
 
 export interface SoakSite {
   readonly store: StoreStandin;
--- a/platform/soak/soakLedger.test.ts
+++ b/measurements/faultSoak/soakLedger.test.ts
@@ -1,9 +1,9 @@
+import type { CallerOutcome, CallerRequestKind } from '../../platform/standins/sendRequest';
 import { createSoakLedger } from './soakLedger';
-import type { SoakOutcome, SoakRequestKind } from './soakLedger';
 
 function judge(
-  kind: SoakRequestKind,
-  outcome: SoakOutcome,
+  kind: CallerRequestKind,
+  outcome: CallerOutcome,
   runs: readonly string[],
   stages = '',
 ): readonly string[] {
@@ -13,7 +13,7 @@
   return ledger.findings();
 }
 
-const whole = (body: string, isSealed = true): SoakOutcome => ({ type: 'whole', body, isSealed });
+const whole = (body: string, isSealed = true): CallerOutcome => ({ type: 'whole', body, isSealed });
 
 describe('createSoakLedger', () => {
   it('finds nothing where every promise was kept', () => {
--- a/platform/soak/soakLedger.ts
+++ b/measurements/faultSoak/soakLedger.ts
@@ -1,19 +1,15 @@
 /** What callers were told and what backend servers ran, held against each other. */
 
-/** Kinds of requests that the soak sends. */
-export type SoakRequestKind = 'stream' | 'once' | 'lookup';
-
-export type SoakOutcome =
-  | { readonly type: 'whole'; readonly body: string; readonly isSealed: boolean }
-  | { readonly type: 'refused'; readonly status: number }
-  | { readonly type: 'failed'; readonly status: number }
-  /** The connection ended before the answer did, or was never made. */
-  | { readonly type: 'cut' };
+import type { CallerOutcome, CallerRequestKind } from '../../platform/standins/sendRequest';
 
 export interface SoakLedger {
   /** Notes that a server began to run a request, over the stages that it was given. */
   readonly noteRun: (requestId: string, server: string, stages: string) => void;
-  readonly noteOutcome: (requestId: string, kind: SoakRequestKind, outcome: SoakOutcome) => void;
+  readonly noteOutcome: (
+    requestId: string,
+    kind: CallerRequestKind,
+    outcome: CallerOutcome,
+  ) => void;
   /** Requests that were answered whole. */
   readonly served: () => number;
   /** Broken promises, one line each. */
@@ -30,9 +26,12 @@
 /** Creates an empty ledger. */
 export function createSoakLedger({ layers, streamBody }: SoakLedgerOptions): SoakLedger {
   const runs = new Map<string, string[]>();
-  const outcomes = new Map<string, { readonly kind: SoakRequestKind; readonly end: SoakOutcome }>();
+  const outcomes = new Map<
+    string,
+    { readonly kind: CallerRequestKind; readonly end: CallerOutcome }
+  >();
   const pathFaults: string[] = [];
-  const wholeBody: Readonly<Record<SoakRequestKind, (requestId: string) => string>> = {
+  const wholeBody: Readonly<Record<CallerRequestKind, (requestId: string) => string>> = {
     stream: streamBody,
     once: (requestId) => JSON.stringify({ requestId }),
     lookup: (requestId) => JSON.stringify({ requestId }),
--- a/platform/soak/startGatewayProcess.ts
+++ b/measurements/faultSoak/startGatewayProcess.ts
@@ -4,9 +4,9 @@
 import type { ChildProcess } from 'node:child_process';
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { findFreeAddresses } from './listenLocally';
-import type { FaultProxy } from './startProxy';
-import { startProxy } from './startProxy';
+import { findFreeAddresses } from '../../standins/proxy/listenLocally';
+import type { FaultProxy } from '../../standins/proxy/startProxy';
+import { startProxy } from '../../standins/proxy/startProxy';
 
 export interface GatewayProcess {
   readonly name: string;
