--- a/measurements/faultSoak/soakFaults.ts
+++ b/measurements/faultSoak/soakFaults.ts
@@ -15,12 +15,18 @@
 
 type Fault = (site: SoakSite, random: Random) => Lift;
 
+/** Part of the servers' faults that meet plain ones. */
+const PLAIN_SHARE = 0.5;
+
 const nothing: Lift = () => undefined;
 
 const withEngine =
   (begin: (engine: EngineStandin) => Lift): Fault =>
-  ({ engines }, random) =>
-    begin(random.pick(engines));
+  ({ engines }, random) => {
+    // Calls that must not repeat go to the few plain servers: they fail as often as all engines do.
+    const isPlain = random.next() < PLAIN_SHARE;
+    return begin(random.pick(engines.filter((engine) => engine.isPlain === isPlain)));
+  };
 
 const withGateway =
   (begin: (gateway: GatewayProcess) => Lift): Fault =>
@@ -82,6 +88,13 @@
   'engine sheds': inMode('shed'),
   'engine loses answers': inMode('lost'),
   'engine cuts streams': inMode('cut'),
+  'calls lose their answers everywhere': ({ engines }) => {
+    const plain = engines.filter(({ isPlain }) => isPlain);
+    for (const engine of plain) engine.setMode('lost');
+    return () => {
+      for (const engine of plain) engine.setMode('sound');
+    };
+  },
   'store is busy': ofStore('busy'),
   'store is silent': ofStore('mute'),
   'store loses answers of writes': ofStore('lossy'),
