Ask servers only once before their first use

Cause, found by reading: a VM that has just started asked a server that answers no such question again and again for 2.5 s before it sent it a stream. Deployments without such answers would be held up after every start. The test for it (rules.test.ts, a start) ran into its time limit on the code before.

--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -137,12 +137,15 @@
   const patienceMs = hasBegun ? RESUME_WAIT_MS : firstWaitMs;
   const maxStartMs = job.rule.targetMs * MAX_START_TARGETS;
   const untilMs = Math.min(job.expiresMs, host.now() + patienceMs);
+  // Once: a server that answers no such question must not hold the request up.
+  let mayAsk = host.isNewcomer();
   for (;;) {
     const stages = searchChain(host, job, tokens, hasBegun ? undefined : maxStartMs);
     if (stages !== undefined) {
       const ids = stages.map(({ id }) => id);
-      const isNews = host.isNewcomer() && (await host.probes.askUnknown(ids));
+      const isNews = mayAsk && (await host.probes.askUnknown(ids));
       if (!isNews) return stages;
+      mayAsk = false;
     } else {
       const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
       if (!isWoken) return undefined;
