--- a/src/adapters/gateway/createExecutorClaim.test.ts
+++ b/src/adapters/gateway/createExecutorClaim.test.ts
@@ -1,16 +1,10 @@
 import type { StoreWrite, WatchedStore } from '../../contracts/watchedStore';
 import type { PeerRecord } from '../../peers/peer';
+import { createPeerRecord } from '../../peers/testPeer';
 import { createExecutorClaim } from './createExecutorClaim';
 
-const record = (vm: string, incarnation: string): PeerRecord => ({
-  vm,
-  incarnation,
-  callerAddress: '',
-  peerAddress: '',
-  tableAddress: '',
-  failureDomain: 'a',
-  cores: 1,
-});
+const record = (vm: string, incarnation: string): PeerRecord =>
+  createPeerRecord(vm, { incarnation });
 
 const self = record('a', 'second');
 
--- a/src/adapters/gateway/createPeerGroup.test.ts
+++ b/src/adapters/gateway/createPeerGroup.test.ts
@@ -3,6 +3,8 @@
 import type { ServerBoard } from '../../gateway/createServerBoard';
 import { createStartTimes } from '../../gateway/createStartTimes';
 import type { PeerRecord } from '../../peers/peer';
+import { createListedServer } from '../../chains/testEngine';
+import { createPeerRecord } from '../../peers/testPeer';
 import { createPeerGroup } from './createPeerGroup';
 import type { PeerGroup } from './createPeerGroup';
 
@@ -61,15 +63,10 @@
   const ports = await findPorts(18);
   const records = ports.map((port, index): PeerRecord => {
     const failureDomain = index % 2 === 0 ? 'a' : 'b';
-    return {
-      vm: `${failureDomain}${10 + index}`,
-      incarnation: `life-${index}`,
-      callerAddress: `10.0.0.${index}:80`,
+    return createPeerRecord(`${failureDomain}${10 + index}`, {
       peerAddress: `127.0.0.1:${port}`,
-      tableAddress: '',
       failureDomain,
-      cores: 1,
-    };
+    });
   });
   members = records.map((record) => startMember(record, lost));
   for (const { group } of members) group.learnRecords(records);
@@ -109,19 +106,7 @@
 
   it('passes the loss of a server on by way of relays', async () => {
     const last = members.at(-1);
-    last?.board.list([
-      {
-        id: 'engine',
-        service: 's',
-        address: 'e:1',
-        failureDomain: 'a',
-        slots: 1,
-        isDraining: false,
-        bornMs: 5,
-        kind: undefined,
-        layers: undefined,
-      },
-    ]);
+    last?.board.list([createListedServer('engine')]);
     last?.board.suspect('engine', 'silent');
     await until(() => lost.includes('b11 engine'));
     expect(lost).toContain('b11 engine');
--- a/src/adapters/gateway/createRelayedStore.test.ts
+++ b/src/adapters/gateway/createRelayedStore.test.ts
@@ -4,24 +4,14 @@
 import type { AddressInfo } from 'node:net';
 import type { ClockReading } from '../../catalog/confirmation';
 import type { StoreRow, WatchedStore } from '../../contracts/watchedStore';
-import type { PeerRecord } from '../../peers/peer';
 import type { TableCopy } from '../../peers/tableCopy';
 import { createTableCopy } from '../../peers/tableCopy';
+import { createPeerRecord } from '../../peers/testPeer';
 import { createRelayedStore } from './createRelayedStore';
 import { createTableRelay } from './createTableRelay';
 
 const row = (key: string, version: number): StoreRow => ({ key, value: key, version });
 
-const record = (vm: string, tableAddress: string): PeerRecord => ({
-  vm,
-  incarnation: `${vm}-1`,
-  callerAddress: '',
-  peerAddress: '',
-  tableAddress,
-  failureDomain: 'a',
-  cores: 1,
-});
-
 let server: Server | undefined;
 
 afterEach(() => {
@@ -45,7 +35,7 @@
     },
     write: () => Promise.resolve({ type: 'conflict' }),
   };
-  const relays = [record('relay', `127.0.0.1:${port}`)];
+  const relays = [createPeerRecord('relay', { tableAddress: `127.0.0.1:${port}` })];
   const follow = (vm: string, from = relays): WatchedStore =>
     createRelayedStore({
       store,
--- a/src/chains/findChain.test.ts
+++ b/src/chains/findChain.test.ts
@@ -1,25 +1,7 @@
 import type { ChainSearch } from './findChain';
 import { findChain } from './findChain';
 import type { ChainEngine } from './layerEngine';
-
-const engine = (
-  id: string,
-  from: number,
-  to: number,
-  more: Partial<ChainEngine> = {},
-): ChainEngine => ({
-  id,
-  address: `${id}:1`,
-  failureDomain: 'a',
-  layers: { from, to },
-  layerStepMs: 0.1,
-  capacity: 100_000,
-  reserved: 0,
-  entered: 0,
-  slots: 10,
-  startDelayMs: 0,
-  ...more,
-});
+import { createChainEngine as engine } from './testEngine';
 
 const search = (engines: readonly ChainEngine[], more: Partial<ChainSearch> = {}): ChainSearch => ({
   engines,
--- a/src/chains/replaceStages.test.ts
+++ b/src/chains/replaceStages.test.ts
@@ -1,18 +1,6 @@
 import type { ChainEngine, Stage } from './layerEngine';
 import { replaceStages } from './replaceStages';
-
-const engine = (id: string, from: number, to: number): ChainEngine => ({
-  id,
-  address: `${id}:1`,
-  failureDomain: 'a',
-  layers: { from, to },
-  layerStepMs: 0.1,
-  capacity: 100_000,
-  reserved: 0,
-  entered: 0,
-  slots: 10,
-  startDelayMs: 0,
-});
+import { createChainEngine as engine } from './testEngine';
 
 const stage = (id: string, from: number, to: number): Stage => ({
   id,
--- a/src/gateway/createServerBoard.test.ts
+++ b/src/gateway/createServerBoard.test.ts
@@ -1,22 +1,9 @@
-import type { ListedServer } from '../chains/layerEngine';
+import { createListedServer as server } from '../chains/testEngine';
 import { testModel } from '../chains/testModel';
 import { createServerBoard } from './createServerBoard';
 import type { ServerBoard } from './createServerBoard';
 import { createStartTimes } from './createStartTimes';
 
-const server = (id: string, more: Partial<ListedServer> = {}): ListedServer => ({
-  id,
-  service: 'drafts',
-  address: `${id}:1`,
-  failureDomain: 'a',
-  slots: 4,
-  isDraining: false,
-  bornMs: 5,
-  kind: 'l4',
-  layers: { from: 0, to: 9 },
-  ...more,
-});
-
 let nowMs = 0;
 let board: ServerBoard;
 
--- a/src/gateway/createServerProbes.test.ts
+++ b/src/gateway/createServerProbes.test.ts
@@ -1,3 +1,4 @@
+import { createListedServer } from '../chains/testEngine';
 import type { BackendProtocol, ReportResult } from './backendProtocol';
 import { createServerBoard } from './createServerBoard';
 import { createServerProbes } from './createServerProbes';
@@ -28,19 +29,7 @@
     startTimes: createStartTimes(now),
     onBelief: () => undefined,
   });
-  board.list([
-    {
-      id: 'x',
-      service: 's',
-      address: 'x:1',
-      failureDomain: 'a',
-      slots: 1,
-      isDraining: false,
-      bornMs: 5,
-      kind: undefined,
-      layers: undefined,
-    },
-  ]);
+  board.list([createListedServer('x')]);
   const protocol = {
     fetchReport: () => {
       asked.push(nowMs);
--- a/src/gateway/isLeaving.test.ts
+++ b/src/gateway/isLeaving.test.ts
@@ -1,17 +1,7 @@
-import type { ListedServer } from '../chains/layerEngine';
+import { createListedServer } from '../chains/testEngine';
 import { isLeaving } from './isLeaving';
 
-const listed: ListedServer = {
-  id: 'e',
-  service: 's',
-  address: 'e:1',
-  failureDomain: 'a',
-  slots: 4,
-  isDraining: false,
-  bornMs: 5,
-  kind: 'small',
-  layers: { from: 0, to: 4 },
-};
+const listed = createListedServer('e', { layers: { from: 0, to: 4 } });
 
 describe('isLeaving', () => {
   it('has streams leave a server that drains or is gone', () => {
--- a/src/peers/chooseRelays.test.ts
+++ b/src/peers/chooseRelays.test.ts
@@ -1,17 +1,11 @@
 import { chooseRelays, isRelayedFleet } from './chooseRelays';
 import type { PeerRecord } from './peer';
+import { createPeerRecord } from './testPeer';
 
-const record = (vm: string, failureDomain: string, cores = 0.3): PeerRecord => ({
-  vm,
-  incarnation: `${vm}-1`,
-  callerAddress: `${vm}:80`,
-  peerAddress: `${vm}:70`,
-  tableAddress: `${vm}:71`,
-  failureDomain,
-  cores,
-});
+const inB = (vm: string, cores = 0.3): PeerRecord =>
+  createPeerRecord(vm, { failureDomain: 'b', cores });
 
-const fleet = [1, 2, 3, 4, 5].flatMap((n) => [record(`a${n}`, 'a'), record(`b${n}`, 'b')]);
+const fleet = [1, 2, 3, 4, 5].flatMap((n) => [createPeerRecord(`a${n}`), inB(`b${n}`)]);
 
 const names = (peers: readonly PeerRecord[], silent: readonly string[] = []): readonly string[] =>
   chooseRelays(peers, 'b', (vm) => silent.includes(vm)).map(({ vm }) => vm);
@@ -22,7 +16,7 @@
   });
 
   it('prefers VMs with more processor time', () => {
-    expect(names([...fleet, record('b9', 'b', 1.35)])).toEqual(['b9', 'b1']);
+    expect(names([...fleet, inB('b9', 1.35)])).toEqual(['b9', 'b1']);
   });
 
   it('replaces relays that fell silent', () => {
--- a/src/peers/digestDomain.test.ts
+++ b/src/peers/digestDomain.test.ts
@@ -1,15 +1,6 @@
 import { digestDomain } from './digestDomain';
-import type { HeardPeer, PeerRecord } from './peer';
-
-const record = (vm: string, failureDomain: string): PeerRecord => ({
-  vm,
-  incarnation: `${vm}-1`,
-  callerAddress: `${vm}:80`,
-  peerAddress: `${vm}:70`,
-  tableAddress: `${vm}:71`,
-  failureDomain,
-  cores: 1,
-});
+import type { HeardPeer } from './peer';
+import { createPeerRecord as record } from './testPeer';
 
 const word = (heardMs: number, running: number): HeardPeer => ({
   incarnation: 'x',
@@ -24,7 +15,7 @@
       failureDomain: 'a',
       self: { vm: 'a1', incarnation: 's', isAccepting: true, heardAgoMs: 0 },
       ownWork: { servers: new Map([['engine', { reserved: 5, running: 1 }]]), crossingPerMs: 2 },
-      records: [record('a1', 'a'), record('a2', 'a'), record('a3', 'a'), record('b1', 'b')],
+      records: [record('a1'), record('a2'), record('a3'), record('b1', { failureDomain: 'b' })],
       heard: new Map([
         ['a2', word(9_700, 2)],
         ['a3', word(5_000, 4)],
--- a/src/peers/listLivePeers.test.ts
+++ b/src/peers/listLivePeers.test.ts
@@ -1,16 +1,6 @@
 import type { PeerView } from './listLivePeers';
 import { chooseAddresses, listLivePeers } from './listLivePeers';
-import type { PeerRecord } from './peer';
-
-const record = (vm: string, failureDomain = 'a'): PeerRecord => ({
-  vm,
-  incarnation: `${vm}-1`,
-  callerAddress: `${vm}:80`,
-  peerAddress: `${vm}:70`,
-  tableAddress: `${vm}:71`,
-  failureDomain,
-  cores: 1,
-});
+import { createPeerRecord as record } from './testPeer';
 
 const view = (more: Partial<PeerView>): PeerView => ({
   records: [record('self'), record('near'), record('far')],
@@ -66,7 +56,11 @@
 });
 
 describe('chooseAddresses', () => {
-  const peers = [record('x', 'a'), record('y', 'b'), record('z', 'b')];
+  const peers = [
+    record('x', { failureDomain: 'a' }),
+    record('y', { failureDomain: 'b' }),
+    record('z', { failureDomain: 'b' }),
+  ];
 
   it('names the VMs nearby where there are two', () => {
     expect(chooseAddresses(peers, 'b', 64)).toEqual(['y:80', 'z:80']);
--- a/src/peers/planHeartbeats.test.ts
+++ b/src/peers/planHeartbeats.test.ts
@@ -1,15 +1,8 @@
 import type { PeerRecord } from './peer';
 import { planHeartbeats } from './planHeartbeats';
+import { createPeerRecord } from './testPeer';
 
-const record = (vm: string): PeerRecord => ({
-  vm,
-  incarnation: `${vm}-1`,
-  callerAddress: `${vm}:80`,
-  peerAddress: `${vm}:70`,
-  tableAddress: `${vm}:71`,
-  failureDomain: vm.slice(0, 1),
-  cores: 1,
-});
+const record = (vm: string): PeerRecord => createPeerRecord(vm, { failureDomain: vm.slice(0, 1) });
 
 const fleet = (perDomain: number): readonly PeerRecord[] =>
   ['a', 'b', 'c'].flatMap((domain) =>
--- /dev/null
+++ b/src/peers/testPeer.ts
@@ -0,0 +1,17 @@
+/** Records of VMs, for tests. */
+
+import type { PeerRecord } from './peer';
+
+/** @returns the record of a VM in failure domain `a` with one core, unless `more` says otherwise */
+export function createPeerRecord(vm: string, more: Partial<PeerRecord> = {}): PeerRecord {
+  return {
+    vm,
+    incarnation: `${vm}-1`,
+    callerAddress: `${vm}:80`,
+    peerAddress: `${vm}:70`,
+    tableAddress: `${vm}:71`,
+    failureDomain: 'a',
+    cores: 1,
+    ...more,
+  };
+}
