--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -43,4 +43,7 @@
   if (failed.length > 0) process.exitCode = 1;
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(1));
+}
 void main();
--- a/measurements/faultSoak/startGatewayProcess.ts
+++ b/measurements/faultSoak/startGatewayProcess.ts
@@ -81,6 +81,11 @@
     });
   };
   start();
+  // A soak that is ended early leaves no daemon behind.
+  const endChild = (): void => {
+    child.kill('SIGKILL');
+  };
+  process.once('exit', endChild);
   return {
     name,
     directory,
@@ -93,6 +98,7 @@
     unexpectedEnds: () => unexpected,
     close: () => {
       isClosed = true;
+      process.off('exit', endChild);
       child.kill('SIGCONT');
       child.kill('SIGKILL');
       storeProxy.close();
