Log what a broken run and a suspicion rest on

Adds the line 'broken run' (evidence, whether it counts), 'limit', 'runs' and 'events' to 'stream given up', reason and duration to 'server answers again', and counters of suspicions raised and lifted. Reasons are a closed set, since they label a counter; the text of an error moves to 'detail'. No decision changes; the tests pass unchanged.

--- /dev/null
+++ b/src/adapters/gateway/finishStream.ts
@@ -0,0 +1,62 @@
+/** Ends a stream that got no complete answer. */
+
+import type { GatewayHost, Job } from '../../gateway/job';
+import { findStreamChain } from './findStreamChain';
+import { refuseJob } from './refuseJob';
+import type { AttemptOutcome } from './runStreamAttempt';
+
+/** Delays before the caller may retry where all chains are full, and where no chain exists. */
+const FULL_RETRY_MS = 2_500;
+const NO_CHAIN_RETRY_MS = 2_500;
+
+/** Why a stream got no further attempt. */
+export type StreamLimit = 'no chain' | 'attempts of the route' | 'retry budget';
+
+export interface StreamEnd {
+  readonly mayHaveRun: boolean;
+  /** What ruled out a further attempt; undefined if the last outcome did. */
+  readonly limit: StreamLimit | undefined;
+  /** Events that the caller received. */
+  readonly events: number;
+  /** Runs that broke off. */
+  readonly runs: number;
+}
+
+/** Sends the final answer of a stream that is not complete, or closes its connection. */
+export function finishStream(
+  host: GatewayHost,
+  job: Job,
+  outcome: AttemptOutcome | undefined,
+  end: StreamEnd,
+): void {
+  const { response } = job;
+  if (outcome?.type === 'answered' && !response.headersSent) {
+    response.writeHead(outcome.reply.status, {
+      ...outcome.reply.headers,
+      'content-length': outcome.reply.body.length,
+    });
+    response.end(outcome.reply.body);
+    return;
+  }
+  const reason = end.mayHaveRun ? 'unknown-outcome' : 'not-run';
+  const baseMs = outcome === undefined ? chooseRetryDelay(host, job) : FULL_RETRY_MS;
+  host.count('refusals', reason);
+  host.log('stream given up', {
+    id: job.head.id,
+    reason,
+    cause: outcome?.type ?? 'no chain',
+    limit: end.limit,
+    events: end.events,
+    runs: end.runs,
+    maxAttempts: job.rule.maxAttempts,
+  });
+  refuseJob(response, reason, host.protocol, {
+    retryAfterMs: end.mayHaveRun ? undefined : baseMs * (0.5 + host.random()),
+  });
+}
+
+/** Where no chain covers the model, engines must load layers before a retry can succeed. */
+function chooseRetryDelay(host: GatewayHost, job: Job): number {
+  const empty = findStreamChain(host, job, 0, Infinity);
+  return empty === undefined ? NO_CHAIN_RETRY_MS : FULL_RETRY_MS;
+}
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -51,7 +51,7 @@
     lastOutcome = outcome;
     failedBy = server.id;
     if (outcome.type === 'unreached') {
-      host.registry.suspect(server.id, outcome.detail);
+      host.registry.suspect(server.id, 'unreached', outcome.detail);
       continue;
     }
     servers.add(server.id);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -9,13 +9,9 @@
 import type { GatewayWork, ServerLoad } from './gatewayWork';
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
-
-/** A server that is suspected to have failed, until it answers or restarts. */
-export interface ServerSuspicion {
-  readonly id: string;
-  readonly bornMs: number;
-  readonly sinceMs: number;
-}
+import { createSuspicions } from './createSuspicions';
+import type { ServerSuspicion, SuspicionReason } from './createSuspicions';
+import type { LogFields } from './job';
 
 export interface ServerReport {
   /** Step time as a multiple of the nominal step time of the engine's kind. */
@@ -38,7 +34,7 @@
   readonly usableServers: (service: string) => readonly ListedServer[];
   readonly chainEngines: (service: string, model: PipelineModel) => readonly ChainEngine[];
   /** Marks a server as suspected; notifies listeners unless it is suspected already. */
-  readonly suspect: (id: string, reason: string) => void;
+  readonly suspect: (id: string, reason: SuspicionReason, detail?: string) => void;
   readonly clearSuspicion: (id: string) => void;
   readonly suspicions: () => readonly ServerSuspicion[];
   /** Sends a server no new requests for `forMs`, without suspecting it. */
@@ -91,10 +87,8 @@
   readonly now: () => number;
   /** First-event delays by the first engine of the chain. */
   readonly firstEventDelays: FirstEventDelays;
-  readonly log: (
-    message: string,
-    fields: Readonly<Record<string, string | number | boolean>>,
-  ) => void;
+  readonly log: (message: string, fields: LogFields) => void;
+  readonly count?: (counter: string, label: string) => void;
 }
 
 /** Age at which another VM's work no longer counts; several heartbeats were missed by then. */
@@ -113,10 +107,10 @@
 
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
-  const { now, log, firstEventDelays } = options;
+  const { now, log, firstEventDelays, count = () => undefined } = options;
   let listed = new Map<string, ListedServer>();
   let byAddress = new Map<string, ListedServer>();
-  const suspected = new Map<string, ServerSuspicion>();
+  const suspicions = createSuspicions({ now, log, count });
   const backOffUntilMs = new Map<string, number>();
   const reports = new Map<string, ServerReport & { readonly atMs: number }>();
   const lastEventsMs = new Map<string, number>();
@@ -153,7 +147,7 @@
     else ownLoads.set(id, next);
   };
   const isUsable = ({ id, isDraining }: ListedServer): boolean =>
-    !isDraining && !suspected.has(id) && (backOffUntilMs.get(id) ?? 0) <= now();
+    !isDraining && !suspicions.has(id) && (backOffUntilMs.get(id) ?? 0) <= now();
   const paceOf = (id: string): number => {
     const known = reports.get(id);
     return known !== undefined && now() - known.atMs < PACE_VALID_MS ? known.pace : 1;
@@ -201,10 +195,7 @@
       const next = new Map(servers.map((server) => [server.id, server]));
       const leaving = listLeaving(next);
       for (const server of servers) logLayerChange(server);
-      for (const [id, suspicion] of suspected) {
-        const server = next.get(id);
-        if (server?.bornMs !== suspicion.bornMs) suspected.delete(id);
-      }
+      suspicions.retain(next);
       for (const id of backOffUntilMs.keys()) if (!next.has(id)) backOffUntilMs.delete(id);
       for (const id of reports.keys()) if (!next.has(id)) reports.delete(id);
       for (const id of lastEventsMs.keys()) if (!next.has(id)) lastEventsMs.delete(id);
@@ -223,19 +214,15 @@
         if (server.service !== service || !isUsable(server)) return [];
         return toChainEngine(server, model) ?? [];
       }),
-    suspect: (id, reason) => {
+    suspect: (id, reason, detail) => {
       const server = listed.get(id);
-      if (server === undefined || suspected.has(id)) return;
-      suspected.set(id, { id, bornMs: server.bornMs, sinceMs: now() });
-      log('server suspected', { server: id, address: server.address, reason });
+      if (server === undefined || !suspicions.raise(server, reason, detail)) return;
       for (const listener of suspicionListeners) listener(id);
     },
     clearSuspicion: (id) => {
-      if (!suspected.delete(id)) return;
-      log('server answers again', { server: id });
-      notifyChange();
+      if (suspicions.lift(id)) notifyChange();
     },
-    suspicions: () => [...suspected.values()],
+    suspicions: suspicions.list,
     backOff: (id, forMs) => {
       backOffUntilMs.set(id, now() + forMs);
     },
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -101,9 +101,10 @@
     log.write(message, fields);
   };
   const metrics = createGatewayMetrics();
+  const { count, observe } = metrics;
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
   const firstEventDelays = createFirstEventDelays(now);
-  const registry = createServerRegistry({ now, firstEventDelays, log: writeLog });
+  const registry = createServerRegistry({ now, firstEventDelays, log: writeLog, count });
   const probes = createServerProbes({ registry, protocol, now, log: writeLog });
   const self: PeerRecord = {
     vm: settings.vm.name,
@@ -187,8 +188,8 @@
     now,
     random: Math.random,
     log: writeLog,
-    count: metrics.count,
-    observe: metrics.observe,
+    count,
+    observe,
   };
   const gateway = createGateway({
     host,
