Keep a silent run until another one can take its place, and count it

Cause: silence was taken as proof. An engine that did not send a report within 300 ms had its streams ended at once, before it was known whether another engine could take them; where the route's servers, the retry budget or the chains were used up, or the route may not be resumed, the caller's connection was closed. And a run whose engine had not sent a report did not count as an attempt, so the next engines were tried up to six times. Sound engines fall silent for a second or so and go on.

Now a suspicion only says where no new request goes. Every server that may have run a request counts, and when the route's servers are used up only these may continue it. A silent stream moves only when its caller would soon leave, or while its first event can still be in time, and only once a chain, an attempt and a retry are at hand; else it waits for its engine, as the caller does. A suspected first engine no longer ends its streams.

--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -13,7 +13,7 @@
 
 export interface ChainRepair {
   readonly includes: (server: string) => boolean;
-  /** Replaces failed engines; reports the stream as broken if the first engine has failed. */
+  /** Replaces failed engines, unless the first engine is one of them. */
   readonly repair: (failedIds: ReadonlySet<string>, cause: string) => Promise<void>;
   /** Probes all engines of the chain and replaces those that have failed. */
   readonly probe: () => Promise<void>;
@@ -122,10 +122,8 @@
     if (isOver() || isRepairing || model === undefined || entry === undefined) return;
     // The first engine rejects a path that still includes any failed or leaving engine.
     const replacedIds = new Set([...failedIds, ...findSuspects(new Set()), ...findLeaving()]);
-    if (replacedIds.has(entry.id)) {
-      options.onBroken(cause);
-      return;
-    }
+    // Orders go through the first engine. While it does not answer, the stream waits for it or moves.
+    if (replacedIds.has(entry.id)) return;
     const path = findPath(model, replacedIds);
     lastCause = cause;
     host.log('chain repair', {
--- a/src/adapters/gateway/findStreamChain.ts
+++ b/src/adapters/gateway/findStreamChain.ts
@@ -6,25 +6,38 @@
 import type { Stage } from '../../chains/layerEngine';
 import type { GatewayHost, Job } from '../../gateway/job';
 
-/**
- * @param tokens expected tokens of prompt and answer
- * @param maxStartMs longest expected delay of the first event, milliseconds; undefined for a stream that
- *   has already sent events
- * @returns undefined if no chain has capacity
- */
+export interface StreamChainSearch {
+  /** Expected tokens of prompt and answer. */
+  readonly tokens: number;
+  /**
+   * Longest expected delay of the first event, milliseconds; undefined for a stream that has already sent
+   * events.
+   */
+  readonly maxStartMs?: number | undefined;
+  /** Engines to which the request may be sent; all if undefined. */
+  readonly entries?: ReadonlySet<string> | undefined;
+  /** Engines that must not be used. */
+  readonly excluded?: ReadonlySet<string>;
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+/** @returns undefined if no chain has capacity */
 export function findStreamChain(
   host: GatewayHost,
   job: Job,
-  tokens: number,
-  maxStartMs?: number,
+  { tokens, maxStartMs, entries, excluded = NONE }: StreamChainSearch,
 ): readonly Stage[] | undefined {
   const { registry } = host;
   const { name, model } = job.profile;
   if (model === undefined) {
-    const [server] = [...registry.usableServers(name)].sort(
-      (one, other) =>
-        registry.running(one.id) / one.slots - registry.running(other.id) / other.slots,
-    );
+    const [server] = registry
+      .usableServers(name)
+      .filter(({ id }) => !excluded.has(id) && (entries?.has(id) ?? true))
+      .sort(
+        (one, other) =>
+          registry.running(one.id) / one.slots - registry.running(other.id) / other.slots,
+      );
     if (server === undefined) return undefined;
     return [{ id: server.id, address: server.address, layers: { from: 0, to: 0 } }];
   }
@@ -39,7 +52,8 @@
       registry.crossingShare(model),
       maxStartMs === undefined,
     ),
-    excluded: new Set(),
+    excluded,
+    entries,
     isEntry: true,
     ...(maxStartMs === undefined ? {} : { maxFirstEventDelayMs: maxStartMs }),
   });
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -10,15 +10,14 @@
 const NO_CHAIN_RETRY_MS = 2_500;
 
 /** Why a stream got no further attempt. */
-export type StreamLimit = 'no chain' | 'attempts of the route' | 'retry budget';
+export type StreamLimit = 'no chain' | 'attempts of the route' | 'retry budget' | 'not resumable';
 
 export interface StreamEnd {
-  readonly mayHaveRun: boolean;
   /** What ruled out a further attempt; undefined if the last outcome did. */
   readonly limit: StreamLimit | undefined;
   /** Events that the caller received. */
   readonly events: number;
-  /** Runs that broke off. */
+  /** Servers that may have run the request. */
   readonly runs: number;
 }
 
@@ -38,7 +37,7 @@
     response.end(outcome.reply.body);
     return;
   }
-  const reason = end.mayHaveRun ? 'unknown-outcome' : 'not-run';
+  const reason = end.runs > 0 ? 'unknown-outcome' : 'not-run';
   const baseMs = outcome === undefined ? chooseRetryDelay(host, job) : FULL_RETRY_MS;
   host.count('refusals', reason);
   host.log('stream given up', {
@@ -51,12 +50,12 @@
     maxAttempts: job.rule.maxAttempts,
   });
   refuseJob(response, reason, host.protocol, {
-    retryAfterMs: end.mayHaveRun ? undefined : baseMs * (0.5 + host.random()),
+    retryAfterMs: end.runs > 0 ? undefined : baseMs * (0.5 + host.random()),
   });
 }
 
 /** Where no chain covers the model, engines must load layers before a retry can succeed. */
 function chooseRetryDelay(host: GatewayHost, job: Job): number {
-  const empty = findStreamChain(host, job, 0, Infinity);
+  const empty = findStreamChain(host, job, { tokens: 0, maxStartMs: Infinity });
   return empty === undefined ? NO_CHAIN_RETRY_MS : FULL_RETRY_MS;
 }
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -17,6 +17,7 @@
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
 import type { StreamProgress } from '../../gateway/streamProgress';
 import type { ServerReply } from './callServer';
+import type { StreamLimit } from './finishStream';
 
 export type AttemptOutcome =
   | { readonly type: 'complete' }
@@ -36,6 +37,9 @@
 /** Maximum migration tries; a stream that has found no capacity by then mostly ends before there is some. */
 const MAX_MIGRATION_TRIES = 3;
 
+/** Time between two tries to move a silent stream, since each searches for a chain. */
+const MOVE_INTERVAL_MS = 200;
+
 export interface StreamAttemptOptions {
   readonly job: Job;
   /** Undefined for a service without chains, where one server answers the whole request. */
@@ -47,6 +51,8 @@
   readonly expectedEvents: number;
   readonly progress: StreamProgress;
   readonly onProgress: (progress: StreamProgress) => void;
+  /** Prepares another attempt; returns what rules it out, undefined if the stream may move. */
+  readonly prepareMove: () => StreamLimit | undefined;
 }
 
 /** Resolves with the outcome when the attempt has ended. */
@@ -190,21 +196,43 @@
     }, delayMs);
     migrationTimers.add(timer);
   };
+  let triedMoveMs = Number.NEGATIVE_INFINITY;
+  let isKeptLogged = false;
+  /** Ends this attempt only if another one can follow; otherwise the engine may still go on. */
+  const moveIfPossible = (nowMs: number, silentMs: number): void => {
+    if (nowMs - triedMoveMs < MOVE_INTERVAL_MS) return;
+    triedMoveMs = nowMs;
+    const limit = options.prepareMove();
+    if (limit === undefined) {
+      endAttempt({ type: 'broken', detail: 'silent' });
+      return;
+    }
+    if (isKeptLogged) return;
+    isKeptLogged = true;
+    host.log('silent stream kept', {
+      id: job.head.id,
+      entry: entry.id,
+      limit,
+      silentMs: Math.round(silentMs),
+      isSuspected: registry.isSuspected(entry.id),
+    });
+  };
   const watchedStream = {
     check: () => {
       const nowMs = now();
-      const verdict = evaluateSilence({
-        silentMs: nowMs - progress.lastActivityMs,
+      const silentMs = nowMs - progress.lastActivityMs;
+      const { isProbeDue, isMoveDue } = evaluateSilence({
+        silentMs,
         hasEvents: hasOwnEvents,
         meanGapMs: progress.meanGapMs,
         targetMs: job.rule.targetMs,
         targetGapMs: job.rule.targetGapMs,
         entryEngineSilentMs: nowMs - registry.lastEventMs(entry.id),
+        isEntrySuspected: registry.isSuspected(entry.id),
         sinceProbeMs: nowMs - chain.probedMs(),
       });
-      if (verdict === 'probe') void chain.probe();
-      if (verdict === 'give-up' && job.rule.isResumable)
-        endAttempt({ type: 'broken', detail: 'silent' });
+      if (isMoveDue) moveIfPossible(nowMs, silentMs);
+      if (isProbeDue && !isOver) void chain.probe();
     },
     onServerSuspected: (id: string) => {
       if (chain.includes(id)) void chain.repair(new Set([id]), 'engine lost');
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -7,6 +7,7 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import type { AdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { findStreamChain } from './findStreamChain';
 import { finishStream } from './finishStream';
 import type { StreamLimit } from './finishStream';
 import { runStreamAttempt } from './runStreamAttempt';
@@ -35,21 +36,38 @@
   };
   const tokens = estimateTokens(job);
   let sentAttempts = 0;
-  const brokenRuns: Promise<boolean>[] = [];
-  let mayHaveRun = false;
+  /** Servers that may have run the request; a server that is silent afterwards still counts. */
+  const runServers = new Set<string>();
+  /** Retries that were spent ahead of the next attempt. */
+  let spentRetries = 0;
   let lastOutcome: AttemptOutcome | undefined;
   let limit: StreamLimit | undefined;
+  const trySpendRetry = (): boolean => host.retryBudgets.trySpendRetry(profile.name);
+  const prepareMove = (entry: string): StreamLimit | undefined => {
+    if (!rule.isResumable) return 'not resumable';
+    const entries = limitEntries(new Set([...runServers, entry]), rule.maxAttempts);
+    const next = findStreamChain(host, job, { tokens, entries, excluded: new Set([entry]) });
+    if (next === undefined) return entries === undefined ? 'no chain' : 'attempts of the route';
+    if (!trySpendRetry()) return 'retry budget';
+    spentRetries += 1;
+    return undefined;
+  };
   host.retryBudgets.recordRequest(profile.name);
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
-    const stages = await waitForStreamChain(host, job, queue, tokens, progress.events > 0);
+    const entries = limitEntries(runServers, rule.maxAttempts);
+    const hasBegun = progress.events > 0;
+    const stages = await waitForStreamChain(host, job, queue, { tokens, hasBegun, entries });
     if (job.isOver()) return;
-    const hasAttempts = await hasAttemptsLeft(brokenRuns, rule.maxAttempts);
-    const mayRepeat =
-      sentAttempts === 0 || (hasAttempts && host.retryBudgets.trySpendRetry(profile.name));
-    if (stages === undefined || !mayRepeat) {
-      limit = findLimit(stages, hasAttempts);
+    if (stages === undefined) {
+      limit = entries === undefined ? 'no chain' : 'attempts of the route';
+      break;
+    }
+    if (sentAttempts > 0 && spentRetries === 0 && !trySpendRetry()) {
+      limit = 'retry budget';
       break;
     }
+    spentRetries = 0;
+    const entry = stages[0]?.id ?? '';
     const outcome = await runStreamAttempt(host, {
       job,
       model: profile.model,
@@ -60,11 +78,12 @@
       onProgress: (next) => {
         progress = next;
       },
+      prepareMove: () =>
+        attempt + 1 < MAX_ATTEMPTS ? prepareMove(entry) : 'attempts of the route',
     });
     logAttempt(host, job, stages, outcome, progress);
     if (outcome.type === 'stopped') return;
     lastOutcome = outcome;
-    const entry = stages[0]?.id ?? '';
     if (outcome.type === 'unreached') host.registry.suspect(entry, 'unreached', outcome.detail);
     else sentAttempts += 1;
     if (outcome.type === 'complete') {
@@ -74,25 +93,23 @@
     if (outcome.type === 'answered') break;
     if (outcome.type === 'not-run') backOffRefusingEngine(host, outcome.fault, entry);
     if (outcome.type === 'broken') {
-      mayHaveRun = true;
+      runServers.add(entry);
       if (!rule.isResumable) break;
-      brokenRuns.push(isStillRunning(host, job, entry));
       host.registry.backOff(entry, ENGINE_BACKOFF_MS);
+      void host.probes.ask(entry);
     }
   }
   if (job.isOver()) return;
   const { events } = progress;
-  finishStream(host, job, lastOutcome, {
-    mayHaveRun,
-    limit,
-    events,
-    runs: brokenRuns.length,
-  });
+  finishStream(host, job, lastOutcome, { limit, events, runs: runServers.size });
 }
 
-function findLimit(stages: readonly Stage[] | undefined, hasAttempts: boolean): StreamLimit {
-  if (stages === undefined) return 'no chain';
-  return hasAttempts ? 'retry budget' : 'attempts of the route';
+/** @returns the servers to which a request may be sent, undefined for all */
+function limitEntries(
+  runServers: ReadonlySet<string>,
+  maxAttempts: number,
+): ReadonlySet<string> | undefined {
+  return runServers.size < maxAttempts ? undefined : runServers;
 }
 
 /** Estimates the tokens of the prompt and the answer together. */
@@ -112,32 +129,6 @@
   );
 }
 
-/** Whether an engine still runs after it broke a stream; only then does the run count as an attempt. */
-async function isStillRunning(host: GatewayHost, job: Job, server: string): Promise<boolean> {
-  const result = await host.probes.ask(server);
-  const isSuspected = host.registry.suspicions().some(({ id }) => id === server);
-  const isRunning = result.type === 'report' && !isSuspected;
-  host.count('broken_runs', isRunning ? 'counted' : 'not counted');
-  host.log('broken run', {
-    id: job.head.id,
-    server,
-    isCounted: isRunning,
-    evidence: result.type,
-    isSuspected,
-    isListed: host.registry.find(server) !== undefined,
-  });
-  return isRunning;
-}
-
-async function hasAttemptsLeft(
-  runs: readonly Promise<boolean>[],
-  maxAttempts: number,
-): Promise<boolean> {
-  if (runs.length < maxAttempts) return true;
-  const counted = await Promise.all(runs);
-  return counted.filter(Boolean).length < maxAttempts;
-}
-
 /** Backs off and probes the engine at fault, or the first engine where the chain named none. */
 function backOffRefusingEngine(host: GatewayHost, fault: string | undefined, entry: string): void {
   const refusingId = host.registry.findByAddress(fault ?? '')?.id ?? entry;
--- a/src/adapters/gateway/waitForStreamChain.ts
+++ b/src/adapters/gateway/waitForStreamChain.ts
@@ -17,17 +17,23 @@
 /** Longest wait of an interrupted stream for capacity to continue; callers leave soon after. */
 const RESUME_WAIT_MS = 1_200;
 
+export interface StreamChainWait {
+  /** Expected tokens of prompt and answer. */
+  readonly tokens: number;
+  /** Whether the caller has received events. */
+  readonly hasBegun: boolean;
+  /** Engines to which the request may be sent; all if undefined. */
+  readonly entries: ReadonlySet<string> | undefined;
+}
+
 /**
- * @param tokens expected tokens of prompt and answer
- * @param hasBegun whether the caller has received events
  * @returns undefined if no chain had capacity in time, or the request is over
  */
 export async function waitForStreamChain(
   host: GatewayHost,
   job: Job,
   queue: AdmissionQueue,
-  tokens: number,
-  hasBegun: boolean,
+  { tokens, hasBegun, entries }: StreamChainWait,
 ): Promise<readonly Stage[] | undefined> {
   const firstWaitMs = job.isRetry ? RETRY_WAIT_MS : job.rule.targetMs * FIRST_EVENT_WAIT_SHARE;
   const maxWaitMs = hasBegun ? RESUME_WAIT_MS : firstWaitMs;
@@ -36,12 +42,18 @@
   // Probes only once: servers that do not answer probes must not delay the request further.
   let mayProbe = host.isRecentlyStarted();
   for (;;) {
-    const stages = findStreamChain(host, job, tokens, hasBegun ? undefined : maxStartMs);
+    const stages = findStreamChain(host, job, {
+      tokens,
+      entries,
+      maxStartMs: hasBegun ? undefined : maxStartMs,
+    });
     if (stages !== undefined) {
       const ids = stages.map(({ id }) => id);
       const hasNewReports = mayProbe && (await host.probes.askUnreported(ids));
       if (!hasNewReports) return stages;
       mayProbe = false;
+    } else if (entries !== undefined && ![...entries].some((id) => canReturn(host, id))) {
+      return undefined;
     } else {
       const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
       if (!isWoken) return undefined;
@@ -49,3 +61,8 @@
     if (job.isOver()) return undefined;
   }
 }
+
+/** Whether an engine that cannot be used now may be usable soon. */
+function canReturn({ registry }: GatewayHost, id: string): boolean {
+  return registry.find(id)?.isDraining === false;
+}
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -27,6 +27,8 @@
   readonly crossDomainMs: number;
   /** Engines that must not be used. */
   readonly excluded: ReadonlySet<string>;
+  /** Engines at which the path may start; all if undefined. */
+  readonly entries?: ReadonlySet<string> | undefined;
   /** False if the path replaces stages in the middle of a chain and needs no entry slot. */
   readonly isEntry: boolean;
   /** Maximum first-event delay of the engine at which the path starts, milliseconds. */
@@ -67,7 +69,7 @@
 
 /** @returns the stages in order; undefined if no path has capacity */
 export function findChain(search: ChainSearch): readonly Stage[] | undefined {
-  const { layers, excluded, maxStages = MAX_STAGES, maxFirstEventDelayMs = Infinity } = search;
+  const { layers, excluded, maxStages = MAX_STAGES } = search;
   const usable = search.engines.filter(
     (engine) =>
       !excluded.has(engine.id) && engine.layers.to > layers.from && engine.layers.from < layers.to,
@@ -88,8 +90,7 @@
     if (states === undefined || position >= layers.to) continue;
     for (const engine of usable) {
       if (engine.layers.from > position || engine.layers.to <= position) continue;
-      if (position === layers.from && search.isEntry && !canStartAt(engine, maxFirstEventDelayMs))
-        continue;
+      if (position === layers.from && search.isEntry && !canStartAt(engine, search)) continue;
       extendPaths({ search, engine, position, states, boundaries, reached, maxStages, slowestMs });
     }
   }
@@ -140,8 +141,15 @@
 }
 
 /** Whether a path may start at the engine. */
-function canStartAt(engine: ChainEngine, maxFirstEventDelayMs: number): boolean {
-  return engine.entered < engine.slots && engine.firstEventDelayMs <= maxFirstEventDelayMs;
+function canStartAt(
+  engine: ChainEngine,
+  { entries, maxFirstEventDelayMs = Infinity }: ChainSearch,
+): boolean {
+  return (
+    engine.entered < engine.slots &&
+    engine.firstEventDelayMs <= maxFirstEventDelayMs &&
+    (entries?.has(engine.id) ?? true)
+  );
 }
 
 function includesEngine(state: PathState, id: string): boolean {
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -36,6 +36,7 @@
   /** Marks a server as suspected; notifies listeners unless it is suspected already. */
   readonly suspect: (id: string, reason: SuspicionReason, detail?: string) => void;
   readonly clearSuspicion: (id: string) => void;
+  readonly isSuspected: (id: string) => boolean;
   readonly suspicions: () => readonly ServerSuspicion[];
   /** Sends a server no new requests for `forMs`, without suspecting it. */
   readonly backOff: (id: string, forMs: number) => void;
@@ -222,6 +223,7 @@
     clearSuspicion: (id) => {
       if (suspicions.lift(id)) notifyChange();
     },
+    isSuspected: suspicions.has,
     suspicions: suspicions.list,
     backOff: (id, forMs) => {
       backOffUntilMs.set(id, now() + forMs);
--- a/src/gateway/evaluateSilence.ts
+++ b/src/gateway/evaluateSilence.ts
@@ -1,8 +1,10 @@
 /**
- * Decides what to do about a silent stream. An unusual silence triggers a probe of the engines on the
- * path, which finds a crashed engine. An attempt is abandoned only while other streams of the same engine
- * continue, because its connection must then be dead. Under overload all streams are silent, and
- * abandoning them would repeat their prefill and add to the overload.
+ * Decides what to do about a silent stream. An unusual silence triggers a probe of the engines on the path.
+ * A silence proves neither that the run has ended nor that its engine is gone, since sound engines fall
+ * silent for a second or so. A stream therefore moves to another engine only when its caller would soon
+ * leave, or while the move can still be in time for the first event, and only if something sets its engine
+ * apart: it does not answer probes, or its other streams continue, so that the connection must be dead.
+ * Under overload all streams are silent, and moving them would repeat their prefill and add to it.
  */
 
 export interface Silence {
@@ -17,11 +19,17 @@
   readonly targetGapMs: number;
   /** Time since the last event of any stream through the same first engine, milliseconds. */
   readonly entryEngineSilentMs: number;
+  /** Whether the first engine is suspected to have failed. */
+  readonly isEntrySuspected: boolean;
   /** Time since the engines were last probed, milliseconds. */
   readonly sinceProbeMs: number;
 }
 
-export type SilenceAction = 'wait' | 'probe' | 'give-up';
+export interface SilenceVerdict {
+  readonly isProbeDue: boolean;
+  /** Whether the stream should move to another first engine, if one can take it. */
+  readonly isMoveDue: boolean;
+}
 
 /** Multiple of the mean gap from which a silence is unusual. */
 const UNUSUAL_GAPS = 2.2;
@@ -38,19 +46,30 @@
 /** Time between two probes for the same stream; reports lag by about as much. */
 const PROBE_INTERVAL_MS = 200;
 
-/**
- * Silence, in multiples of the target, after which an attempt is abandoned. Callers leave after four
- * targets or eight gaps, so enough time is left to resume.
- */
-const GIVE_UP_TARGETS = 2.6;
+/** Callers leave after the longest of this silence and these multiples of the two targets. */
+const SHORTEST_PATIENCE_MS = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+
+/** Share of a caller's patience after which a stream moves; the rest is for connecting and prefill. */
+const MOVE_SHARE = 0.6;
 
-/** @returns the action to take now */
-export function evaluateSilence(silence: Silence): SilenceAction {
-  const { silentMs, hasEvents, meanGapMs, targetMs, targetGapMs, sinceProbeMs } = silence;
+/** Judges a silence that may have just begun. */
+export function evaluateSilence(silence: Silence): SilenceVerdict {
+  const { silentMs, hasEvents, meanGapMs, targetMs, targetGapMs, isEntrySuspected } = silence;
   const isSilentAlone = hasEvents && silence.entryEngineSilentMs < targetGapMs;
-  if (isSilentAlone && silentMs >= targetMs * GIVE_UP_TARGETS) return 'give-up';
+  const patienceMs = Math.max(
+    SHORTEST_PATIENCE_MS,
+    targetMs * PATIENCE_TARGETS,
+    targetGapMs * PATIENCE_GAPS,
+  );
+  const isOutOfPatience = silentMs >= patienceMs * MOVE_SHARE;
+  const isStartAtRisk = isEntrySuspected && !hasEvents && silentMs < targetMs;
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
-  return silentMs >= unusualMs && sinceProbeMs >= PROBE_INTERVAL_MS ? 'probe' : 'wait';
+  return {
+    isProbeDue: silentMs >= unusualMs && silence.sinceProbeMs >= PROBE_INTERVAL_MS,
+    isMoveDue: isStartAtRisk || (isOutOfPatience && (isSilentAlone || isEntrySuspected)),
+  };
 }
