Leave the layers of an engine alone that is silent for a moment

A suspected engine now counts as lost after 2.5 s; one whose report shows another start counts at once.

--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -11,6 +11,7 @@
 import type { ListedServer } from '../../chains/layerEngine';
 import type { BackendProtocol, EngineReport } from '../../gateway/backendProtocol';
 import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerSuspicion } from '../../gateway/createSuspicions';
 import type { LogFields } from '../../gateway/job';
 import type { PendingOrder } from '../../placing/pendingOrder';
 import { computeDueTime } from '../../placing/pendingOrder';
@@ -37,6 +38,12 @@
 /** Longest time for which a model stays unplaced while engines still appear. */
 const MAX_STABLE_LIST_WAIT_MS = 4_000;
 
+/**
+ * Time from which the layers of a suspected engine count as lost. Sound engines fall silent for shorter, and
+ * orders that replace their layers cost the capacity of the engines that load them.
+ */
+const LOST_AFTER_MS = 2_500;
+
 /** Delay before the engine of a failed order is planned again. */
 const ORDER_RETRY_MS = 500;
 
@@ -108,6 +115,8 @@
     });
     if (result.type !== 'accepted') replanAfter(order.id, ORDER_RETRY_MS);
   };
+  const isLost = ({ reason, sinceMs }: ServerSuspicion): boolean =>
+    reason === 'restarted' || now() - sinceMs >= LOST_AFTER_MS;
   const createCandidate = (
     server: ListedServer,
     model: PipelineModel,
@@ -123,11 +132,13 @@
   const placeModel = (service: string, model: PipelineModel): void => {
     const servers = registry.servers(service).filter(({ isDraining }) => !isDraining);
     if (!isListStable(service, servers)) return;
-    const suspects = new Set(registry.suspicions().map(({ id }) => id));
-    const answering = servers.filter(({ id }) => !suspects.has(id));
+    const suspicions = registry.suspicions();
+    const suspects = new Set(suspicions.map(({ id }) => id));
+    const lost = new Set(suspicions.filter(isLost).map(({ id }) => id));
+    const holding = servers.filter(({ id }) => !lost.has(id));
     const orders = planLayers(
       model,
-      answering.map((server) => createCandidate(server, model, suspects)),
+      holding.map((server) => createCandidate(server, model, suspects)),
     );
     for (const order of orders) {
       const server = registry.find(order.id);
