Let the fault proxy hold bytes and deliver them later

Mode 'hold' keeps bytes, ends and resets of both directions and new connections until the next mode, in order. Pausing the sockets was ruled out: Node still reads an end or a reset of a paused socket, so the other side would learn of it during the hold.

--- a/standins/proxy/startProxy.ts
+++ b/standins/proxy/startProxy.ts
@@ -8,9 +8,9 @@
 /**
  * `mute` keeps connections open and drops all bytes; `deaf` drops only the bytes of the caller. A
  * direction that dropped bytes stays blocked in later modes, because TCP never delivers later bytes
- * without the earlier ones.
+ * without the earlier ones. `hold` drops nothing: bytes, ends and new connections wait for the next mode.
  */
-export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse';
+export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse' | 'hold';
 
 export interface FaultProxy {
   readonly address: string;
@@ -27,7 +27,11 @@
 export async function startProxy(target: string): Promise<FaultProxy> {
   const [host, port] = target.split(':');
   const open = new Set<Socket>();
+  const waiters = new Set<() => void>();
   let mode: ProxyMode = 'pass';
+  const untilReleased = async (): Promise<void> => {
+    while (mode === 'hold') await new Promise<void>((resolve) => waiters.add(resolve));
+  };
   const track = (socket: Socket): void => {
     open.add(socket);
     socket.once('close', () => open.delete(socket));
@@ -38,16 +42,17 @@
     let isBlocked = false;
     let pendingCount = 0;
     let tail = Promise.resolve();
-    /** Keeps bytes in order when `slow` mode ends between two chunks. */
+    /** Keeps bytes in order when `slow` or `hold` mode ends between two chunks. */
     const enqueue = (work: () => void): void => {
-      if (mode !== 'slow' && pendingCount === 0) {
+      if (mode !== 'slow' && mode !== 'hold' && pendingCount === 0) {
         work();
         return;
       }
       pendingCount += 1;
       const dueMs = performance.now() + (mode === 'slow' ? SLOW_MS : 0);
       tail = tail
-        .then(() => sleep(Math.max(0, dueMs - performance.now())))
+        .then(() => sleepUntil(dueMs))
+        .then(untilReleased)
         .then(() => {
           pendingCount -= 1;
           work();
@@ -61,11 +66,12 @@
       if (!isBlocked) enqueue(() => to.end());
     });
     from.on('close', (hadError) => {
-      if (hadError) to.resetAndDestroy();
+      if (!hadError) return;
+      if (mode === 'hold') enqueue(() => to.resetAndDestroy());
+      else to.resetAndDestroy();
     });
   };
-  const server = createServer({ allowHalfOpen: true }, (caller) => {
-    track(caller);
+  const forward = (caller: Socket): void => {
     if (mode === 'refuse') {
       caller.resetAndDestroy();
       return;
@@ -75,6 +81,16 @@
     callee.on('error', () => caller.resetAndDestroy());
     pipe(caller, callee, ['mute', 'deaf']);
     pipe(callee, caller, ['mute']);
+    caller.resume();
+  };
+  const server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, (caller) => {
+    track(caller);
+    if (mode !== 'hold') forward(caller);
+    else {
+      void untilReleased().then(() => {
+        if (!caller.destroyed) forward(caller);
+      });
+    }
   });
   const address = await listenOnLoopback(server);
   const reset = (): void => {
@@ -84,6 +100,8 @@
     address,
     setMode: (next) => {
       mode = next;
+      for (const waiter of waiters) waiter();
+      waiters.clear();
     },
     reset,
     close: () => {
@@ -92,3 +110,8 @@
     },
   };
 }
+
+async function sleepUntil(dueMs: number): Promise<void> {
+  const leftMs = dueMs - performance.now();
+  if (leftMs > 0) await sleep(leftMs);
+}
