Let the fault soak see short silences and runs beyond the limits

- Faults: one engine, half of the engines, half of the plain servers held for 0.5 to 2 s.
They end by themselves, whatever duration the runner draws.
- A quarter of the streams last 2.0 to 2.9 s, by the request's id; the ledger builds the body the same way.
- The stand-in server tells how each run ended, when it crashed or reset its connections, and which stages a run was given later.
- Ledger: a request runs on no more servers than maxAttempts, apart from servers that crashed since their run began; a request that ran ends broken only for a reason that the module's comment lists.
Gateways record when they were frozen, ending or down, per request.

--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -10,10 +10,15 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createRandom } from '../../src/random/createRandom';
-import { createConfiguration, LAYERS } from '../../platform/standins/createConfiguration';
+import {
+  createConfiguration,
+  LAYERS,
+  ROUTE_LIMITS,
+} from '../../platform/standins/createConfiguration';
 import { DEADLINE_MS, sendRequest } from '../../platform/standins/sendRequest';
 import type { CallerRequestKind } from '../../platform/standins/sendRequest';
-import { startEngine, STREAM_EVENTS } from '../../platform/standins/startEngine';
+import { createStream } from '../../platform/standins/createStream';
+import { startEngine } from '../../platform/standins/startEngine';
 import { startStore } from '../../platform/standins/startStore';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
@@ -54,7 +59,11 @@
 /** Runs the faults and the requests that the seed determines. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakRun> {
   const random = createRandom(options.seed);
-  const ledger = createSoakLedger({ layers: LAYERS, streamBody: createStreamBody });
+  const ledger = createSoakLedger({
+    layers: LAYERS,
+    limits: ROUTE_LIMITS,
+    streamBody: (requestId) => createStream(requestId).events.join(''),
+  });
   const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
   const site = await startSite(ledger, folder, options.program);
   const caller = createCaller(site, ledger, options.seed);
@@ -91,23 +100,21 @@
   };
 }
 
-function createStreamBody(requestId: string): string {
-  return Array.from(
-    { length: STREAM_EVENTS },
-    (_, index) => `id: ${index + 1}\ndata: ${requestId}:${index + 1}\n\n`,
-  ).join('');
-}
-
 async function startSite(ledger: SoakLedger, folder: string, program: string): Promise<SoakSite> {
   const store = await startStore();
-  const onRun = ledger.recordRun;
+  const callbacks = {
+    onRun: ledger.recordRun,
+    onRunEnded: ledger.recordRunEnd,
+    onStages: ledger.recordStages,
+    onConnectionsLost: ledger.recordLostConnections,
+  };
   const engineZones = DOMAINS.flatMap((zone) => [zone, zone, zone].map((name) => ({ zone: name })));
   const engines = await Promise.all([
     ...engineZones.map(({ zone }, index) =>
-      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, onRun }),
+      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, ...callbacks }),
     ),
     ...DOMAINS.map((zone) =>
-      startEngine({ id: `p-${zone}`, service: 'desk', zone, kind: undefined, store, onRun }),
+      startEngine({ id: `p-${zone}`, service: 'desk', zone, kind: undefined, store, ...callbacks }),
     ),
   ]);
   store.put('op', 'config', createConfiguration());
@@ -141,16 +148,21 @@
     const id = `${kind}-${sent}`;
     const first = random.integer(gateways.length);
     const orderedGateways = [...gateways.slice(first), ...gateways.slice(0, first)];
-    // Recorded before sending: a server may run the request before its outcome is known.
-    ledger.recordOutcome(id, kind, { type: 'cut' });
-    const outcome = await sendRequest({
+    ledger.recordSending(id, kind);
+    const exchange = await sendRequest({
       id,
       kind,
       directories: orderedGateways.map(({ directory }) => directory),
       pick: random.pick,
     });
-    if (outcome !== undefined) ledger.recordOutcome(id, kind, outcome);
-    return outcome?.type === 'whole';
+    if (exchange === undefined) return false;
+    const { address, sentMs, endedMs, outcome } = exchange;
+    const gateway = gateways.find((one) => one.address === address);
+    ledger.recordOutcome(id, outcome, {
+      wasGatewayDisturbed: gateway?.wasDisturbed(sentMs, endedMs) === true,
+      elapsedMs: endedMs - sentMs,
+    });
+    return outcome.type === 'whole';
   };
   const waitUntilServing = async (withinMs: number): Promise<boolean> => {
     const deadlineMs = performance.now() + withinMs;
--- a/measurements/faultSoak/soakFaults.ts
+++ b/measurements/faultSoak/soakFaults.ts
@@ -42,6 +42,29 @@
     };
   });
 
+/** Limits of a short silence, in which nothing is lost. */
+const MIN_SILENCE_MS = 500;
+const MAX_SILENCE_MS = 2_000;
+
+/** Ends by itself, so that no silence lasts longer than its limit. */
+function holdForMoment(engines: readonly EngineStandin[], random: Random): RevertFault {
+  for (const { proxy } of engines) proxy.setMode('hold');
+  const silenceMs = MIN_SILENCE_MS + random.next() * (MAX_SILENCE_MS - MIN_SILENCE_MS);
+  setTimeout(() => {
+    for (const { proxy } of engines) proxy.setMode('pass');
+  }, silenceMs);
+  return noop;
+}
+
+const createGroupSilence =
+  (isPlain: boolean): StartFault =>
+  ({ engines }, random) => {
+    const group = engines.filter((engine) => engine.isPlain === isPlain);
+    const firstHeld = random.integer(group.length);
+    const ordered = [...group.slice(firstHeld), ...group.slice(0, firstHeld)];
+    return holdForMoment(ordered.slice(0, Math.ceil(group.length / 2)), random);
+  };
+
 const createEngineModeFault = (mode: 'shed' | 'lost' | 'cut'): StartFault =>
   createEngineFault((engine) => {
     engine.setMode(mode);
@@ -80,10 +103,14 @@
   }),
   'engine is slow': createEngineProxyFault('slow'),
   'engine falls silent': createEngineProxyFault('mute'),
+  'engine falls silent for a moment': ({ engines }, random) =>
+    holdForMoment([random.pick(engines.filter(({ isPlain }) => !isPlain))], random),
+  'engines fall silent for a moment': createGroupSilence(false),
+  'plain servers fall silent for a moment': createGroupSilence(true),
   'engine hears nothing': createEngineProxyFault('deaf'),
   'engine refuses connections': createEngineProxyFault('refuse'),
-  'engine connections reset': createEngineFault(({ proxy }) => {
-    proxy.reset();
+  'engine connections reset': createEngineFault((engine) => {
+    engine.reset();
     return noop;
   }),
   'engine sheds': createEngineModeFault('shed'),
--- a/measurements/faultSoak/startGatewayProcess.ts
+++ b/measurements/faultSoak/startGatewayProcess.ts
@@ -11,6 +11,8 @@
 export interface GatewayProcess {
   readonly name: string;
   readonly directory: string;
+  /** Address for callers. */
+  readonly address: string;
   readonly storeProxy: FaultProxy;
   /** Sends a signal to this process only. */
   readonly signal: (signal: NodeJS.Signals) => void;
@@ -18,6 +20,8 @@
   readonly log: () => readonly string[];
   /** Exits of the process that no signal of the soak caused. */
   readonly unexpectedExits: () => readonly string[];
+  /** Whether the process was frozen, ending or not running at any moment of a span of steady time. */
+  readonly wasDisturbed: (fromMs: number, toMs: number) => boolean;
   /** Kills the process without a restart. */
   readonly close: () => void;
 }
@@ -38,6 +42,7 @@
 const MAX_LOG_LINES = 4_000;
 
 const TERMINATING_SIGNALS: ReadonlySet<string> = new Set(['SIGKILL', 'SIGTERM']);
+const DISTURBING_SIGNALS: ReadonlySet<string> = new Set(['SIGKILL', 'SIGTERM', 'SIGSTOP']);
 
 /** Starts the process, and restarts it after every exit until it is closed. */
 export async function startGatewayProcess(options: GatewayProcessOptions): Promise<GatewayProcess> {
@@ -60,8 +65,18 @@
   let isClosed = false;
   let wasSignalled = false;
   let child: ChildProcess;
+  const disturbances: { readonly fromMs: number; untilMs: number }[] = [];
+  const beginDisturbance = (): void => {
+    if (disturbances.at(-1)?.untilMs === Infinity) return;
+    disturbances.push({ fromMs: performance.now(), untilMs: Infinity });
+  };
+  const endDisturbance = (): void => {
+    const last = disturbances.at(-1);
+    if (last !== undefined) last.untilMs = Math.min(last.untilMs, performance.now());
+  };
   const start = (): void => {
     wasSignalled = false;
+    endDisturbance();
     child = spawn(process.execPath, ['--max-old-space-size=96', program, '--settings', file], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -73,6 +88,7 @@
     }
     child.once('exit', (code, signal) => {
       if (isClosed) return;
+      beginDisturbance();
       if (!wasSignalled) recordedExits.push(`${name} ended: code ${code ?? ''} ${signal ?? ''}`);
       setTimeout(() => {
         if (!isClosed) start();
@@ -88,13 +104,18 @@
   return {
     name,
     directory,
+    address: callers,
     storeProxy,
     signal: (signal) => {
+      if (DISTURBING_SIGNALS.has(signal)) beginDisturbance();
+      else if (signal === 'SIGCONT' && !wasSignalled) endDisturbance();
       if (TERMINATING_SIGNALS.has(signal)) wasSignalled = true;
       child.kill(signal);
     },
     log: () => log,
     unexpectedExits: () => recordedExits,
+    wasDisturbed: (fromMs, toMs) =>
+      disturbances.some((span) => span.fromMs <= toMs && span.untilMs >= fromMs),
     close: () => {
       isClosed = true;
       process.off('exit', killChild);
