Keep the failing seeds of the fault soak as cases

On the present gateway 7 of seeds 1 to 14 with 16 faults fail (3, 4, 5, 7, 8, 11, 14; one run each): 8 requests ran on 3 servers of 2, and 26 answers of streams broke without an excuse. By the faults drawn, seed 11's engine was in a silence that loses bytes; which silence hit engine m4 in seed 7 was not determined.

- Two small ones are part of the suite beside the unchanged run of seed 1: seed 4 with 7 faults and seed 5 with 6.

--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -1,6 +1,7 @@
 /**
- * Command line of the fault soak: `npm run fault-soak -- --seeds FROM..TO --faults N`. Prints a line for
- * each seed and writes the daemons' log of a seed with findings to the current folder.
+ * Command line of the fault soak: `npm run fault-soak -- --seeds FROM..TO --faults N`, or `--cases` for the
+ * runs that have failed. Prints a line for each run and writes the daemons' log of a run with findings to the
+ * current folder.
  */
 
 import { writeFileSync } from 'node:fs';
@@ -8,6 +9,7 @@
 import { hideBin } from 'yargs/helpers';
 import { bundleDaemon } from './bundleDaemon';
 import { runFaultSoak } from './runFaultSoak';
+import { SOAK_CASES } from './soakCases';
 
 async function main(): Promise<void> {
   const argv = await yargs(hideBin(process.argv))
@@ -19,30 +21,40 @@
         describe: 'range of seeds FROM..TO, both included; one run per seed',
       },
       faults: { type: 'number', default: 16, describe: 'number of faults per run' },
+      cases: {
+        type: 'boolean',
+        default: false,
+        describe: 'run the cases that have failed instead',
+      },
     })
     .strict()
     .parseAsync();
-  const [from, to] = argv.seeds.split('..').map(Number);
-  if (from === undefined || to === undefined || !(to >= from)) {
-    throw new RangeError('--seeds must have the form FROM..TO, with FROM not above TO');
-  }
+  const runs = argv.cases ? SOAK_CASES : listRuns(argv.seeds, argv.faults);
   const program = await bundleDaemon();
   const failed: number[] = [];
-  for (let seed = from; seed <= to; seed += 1) {
-    const { faults, sent, served, findings, log } = await runFaultSoak({
-      seed,
-      faults: argv.faults,
-      program,
-    });
+  for (const run of runs) {
+    const { seed } = run;
+    const { faults, sent, served, findings, log } = await runFaultSoak({ ...run, program });
     console.log(JSON.stringify({ seed, sent, served, findings, faults }));
     if (findings.length === 0) continue;
     failed.push(seed);
     writeFileSync(`fault-soak-${seed}.log`, `${log.join('\n')}\n`);
   }
-  console.log(JSON.stringify({ seeds: to - from + 1, failed }));
+  console.log(JSON.stringify({ seeds: runs.length, failed }));
   if (failed.length > 0) process.exitCode = 1;
 }
 
+function listRuns(
+  seeds: string,
+  faults: number,
+): readonly { readonly seed: number; readonly faults: number }[] {
+  const [from, to] = seeds.split('..').map(Number);
+  if (from === undefined || to === undefined || !(to >= from)) {
+    throw new RangeError('--seeds must have the form FROM..TO, with FROM not above TO');
+  }
+  return Array.from({ length: to - from + 1 }, (_, index) => ({ seed: from + index, faults }));
+}
+
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
   process.once(signal, () => process.exit(1));
 }
--- a/measurements/faultSoak/runFaultSoak.test.ts
+++ b/measurements/faultSoak/runFaultSoak.test.ts
@@ -2,6 +2,7 @@
 import { dirname } from 'node:path';
 import { bundleDaemon } from './bundleDaemon';
 import { runFaultSoak } from './runFaultSoak';
+import { SOAK_CASES } from './soakCases';
 
 /** Limit for a run with its recovery. It only bounds the test; no expectation depends on it. */
 const MAX_RUN_MS = 180_000;
@@ -18,4 +19,16 @@
     },
     MAX_RUN_MS,
   );
+
+  it.each(SOAK_CASES.filter(({ isInSuite }) => isInSuite))(
+    'keeps every guarantee in a run that has failed (seed $seed, $faults faults)',
+    async ({ seed, faults }) => {
+      const program = await bundleDaemon();
+      const run = await runFaultSoak({ seed, faults, program });
+      rmSync(dirname(program), { recursive: true });
+      expect(run.findings).toEqual([]);
+      expect(run.served).toBeGreaterThan(0);
+    },
+    MAX_RUN_MS,
+  );
 });
--- /dev/null
+++ b/measurements/faultSoak/soakCases.ts
@@ -0,0 +1,64 @@
+/**
+ * Runs of the fault soak that have failed, with the cause. The faults follow from the seed and their number;
+ * what they hit also depends on timing, so a case is evidence of its cause and no exact replay.
+ */
+
+export interface SoakCase {
+  readonly seed: number;
+  /** Number of faults to start. */
+  readonly faults: number;
+  readonly cause: string;
+  /** Whether the case is part of the test suite. */
+  readonly isInSuite: boolean;
+}
+
+export const SOAK_CASES: readonly SoakCase[] = [
+  {
+    seed: 4,
+    faults: 7,
+    cause: 'streams run on a third server, or break, after two short silences of half the engines',
+    isInSuite: true,
+  },
+  {
+    seed: 5,
+    faults: 6,
+    cause: 'streams break when the engine that takes them over is silent as well',
+    isInSuite: true,
+  },
+  {
+    seed: 3,
+    faults: 16,
+    cause: 'a run that a short silence ended is not counted, so a third server runs the stream',
+    isInSuite: false,
+  },
+  {
+    seed: 7,
+    faults: 16,
+    cause: 'a short silence ends runs of sound engines, and the retry budget allows no other',
+    isInSuite: false,
+  },
+  {
+    seed: 8,
+    faults: 16,
+    cause: 'a short silence ends the run of a sound engine soon after the start',
+    isInSuite: false,
+  },
+  {
+    seed: 11,
+    faults: 16,
+    cause: 'silence of one engine ends its run, and the retry budget allows no other',
+    isInSuite: false,
+  },
+  {
+    seed: 14,
+    faults: 16,
+    cause: 'runs that a short silence ended are not counted; one began only after the silence',
+    isInSuite: false,
+  },
+  {
+    seed: 2,
+    faults: 16,
+    cause: 'all gateways see a stall of 0.4 s, which counts as silence of every engine',
+    isInSuite: false,
+  },
+];
