Lift suspicions of plain backend servers by health checks

Cause: only a report lifts a suspicion, and a plain server has none. Once it was suspected, no call went there until it restarted.

Change: a server of a service without a model is asked at the service's health path, which the catalog now holds. Any whole answer lifts the suspicion, unless it names another server. Without a health path any HTTP answer to the report query does. The wait between two checks doubles with the time of the suspicion, up to 2 s (0, 250, 500, 1000, 2000, 4000, 6000 ms); engines keep their pace. Streams still ask for reports alone, since a health check waits for a slot.

Sharing of queries moves to createSharedQueries; an open health check is never repeated. Heartbeats of peers lead to a check in the way of the service.

Ruled out: a longer timeout alone or a fixed expiry of suspicions, which would send calls to servers that are gone.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -45,6 +45,8 @@
   readonly name: string;
   /** Set if the service is a model that is split into layers. */
   readonly model: PipelineModel | undefined;
+  /** Path at which each server of the service states whether it is healthy. */
+  readonly healthPath: string | undefined;
 }
 
 export interface WorkspaceCredential {
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -84,6 +84,17 @@
   | { readonly type: 'silent' }
   | { readonly type: 'failed'; readonly detail: string };
 
+/** Result of a request to a server's health path. */
+export type HealthResult =
+  | {
+      readonly type: 'answered';
+      /** Undefined if the server does not state it. */
+      readonly serverId: string | undefined;
+      readonly isHealthy: boolean;
+    }
+  | { readonly type: 'refused' }
+  | { readonly type: 'silent' };
+
 export interface BackendProtocol {
   readonly readRequest: (headers: IncomingHttpHeaders) => RequestHead;
   readonly forwardHeaders: (
@@ -96,6 +107,7 @@
   /** Headers of a refusal; `retryAfterMs` tells the caller when to retry. */
   readonly refusalHeaders: (retryAfterMs: number | undefined) => OutgoingHttpHeaders;
   readonly fetchReport: (address: string) => Promise<ReportResult>;
+  readonly checkHealth: (address: string, healthPath: string) => Promise<HealthResult>;
   readonly placeLayers: (
     address: string,
     layers: LayerRange,
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -1,58 +1,64 @@
 /**
- * Queries engines for their reports when requests fail or stall. Requests that wait for the same engine
- * share one query, and a suspected engine is queried again until it answers.
+ * Finds out whether backend servers run when requests fail or stall. An engine is queried for its report, a
+ * plain server at the health path of its service. Requests that wait for the same server share one query, and
+ * a suspected server is queried again until it answers.
  */
 
-import type { BackendProtocol, ReportResult } from './backendProtocol';
+import type { ServiceProfile } from '../catalog/catalog';
+import type { BackendProtocol, HealthResult, ReportResult } from './backendProtocol';
 import type { LogFields } from './job';
 import type { ServerRegistry } from './createServerRegistry';
+import type { ServerSuspicion } from './createSuspicions';
+import { createSharedQueries } from './createSharedQueries';
+import type { SharedQueries } from './createSharedQueries';
 
 export interface ServerProbes {
-  /** Queries one server and updates the registry from its report. */
+  /** Queries one server for its report and updates the registry from it. */
   readonly ask: (id: string) => Promise<ReportResult>;
+  /** Queries one server for whether it runs, in the way of its service, and updates the registry. */
+  readonly check: (id: string) => Promise<void>;
   /**
    * Queries those of the servers that have no recent report.
    *
    * @returns whether there were any
    */
   readonly askUnreported: (ids: readonly string[]) => Promise<boolean>;
-  /** Queries each suspected server whose last query is at least `intervalMs` old. */
+  /**
+   * Checks each suspected server whose last query is at least `intervalMs` old. A plain server is checked
+   * less often the longer it stays suspected.
+   */
   readonly recheckSuspected: (intervalMs: number) => void;
 }
 
 export interface ServerProbeOptions {
   readonly registry: ServerRegistry;
   readonly protocol: BackendProtocol;
+  /** Undefined for a service that the catalog does not contain. */
+  readonly profileOf: (service: string) => ServiceProfile | undefined;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Time for which all requests share one report; when chains stall, all their streams query at once. */
-const REPORT_SHARED_MS = 400;
-
-/** Time for which all requests share a query without an answer. */
-const UNANSWERED_SHARED_MS = 100;
-
 /** Pace and memory share from which a report is logged, as a possible cause of a refused request. */
 const SLOW_PACE = 1.5;
 const CROWDED_SHARE = 0.8;
 
-/** Time for which a query is kept; longer than any interval between rechecks. */
-const QUERY_KEPT_MS = 5_000;
+/** Longest time between two checks of a plain server that this VM rechecks more often itself. */
+const MAX_PLAIN_RECHECK_MS = 2_000;
 
-interface SharedQuery {
-  readonly atMs: number;
-  /** Time for which further requests share this query, milliseconds. */
-  readonly sharedMs: number;
-  readonly result: Promise<ReportResult>;
-}
+/** How a server shows that it runs: by its report, at its health path, or by any answer at all. */
+type Evidence = 'report' | 'health' | 'any-answer';
 
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
-  const { registry, protocol, now, log } = options;
-  const queries = new Map<string, SharedQuery>();
-  const fetch = async (id: string): Promise<ReportResult> => {
+  const { registry, protocol, profileOf, now, log } = options;
+  const evidenceOf = (id: string): Evidence => {
+    const profile = profileOf(registry.find(id)?.service ?? '');
+    if (profile === undefined || profile.model !== undefined) return 'report';
+    return profile.healthPath === undefined ? 'any-answer' : 'health';
+  };
+  const fetchReport = async (id: string): Promise<ReportResult> => {
     const server = registry.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
     const result = await protocol.fetchReport(server.address);
@@ -66,31 +72,76 @@
       if (isSame) registry.clearSuspicion(id);
       else registry.suspect(id, 'restarted');
     } else if (result.type !== 'failed') registry.suspect(id, result.type);
+    else if (evidenceOf(id) === 'any-answer') registry.clearSuspicion(id);
     return result;
   };
-  const ask = (id: string): Promise<ReportResult> => {
-    const known = queries.get(id);
-    if (known !== undefined && now() - known.atMs < known.sharedMs) return known.result;
-    const result = fetch(id);
-    const query = { atMs: now(), sharedMs: UNANSWERED_SHARED_MS, result };
-    queries.set(id, query);
-    void result.then(({ type }) => {
-      if (type === 'report') queries.set(id, { ...query, sharedMs: REPORT_SHARED_MS });
-    });
+  const checkHealth = async (id: string): Promise<HealthResult | undefined> => {
+    const server = registry.find(id);
+    const healthPath = profileOf(server?.service ?? '')?.healthPath;
+    if (server === undefined || healthPath === undefined) return undefined;
+    const result = await protocol.checkHealth(server.address, healthPath);
+    if (result.type !== 'answered') {
+      registry.suspect(id, result.type);
+      return result;
+    }
+    const { serverId = id, isHealthy } = result;
+    if (serverId !== id) {
+      log('another server answers', { server: id, found: serverId });
+      registry.suspect(id, 'restarted');
+      return result;
+    }
+    // A full or unhealthy server runs; whether calls fail there is for the call history to say.
+    if (!isHealthy) log('server not healthy', { server: id });
+    registry.clearSuspicion(id);
     return result;
   };
+  const reports = createSharedQueries({
+    query: fetchReport,
+    isAnswer: ({ type }) => type === 'report',
+    now,
+  });
+  const healthChecks = createSharedQueries({
+    query: checkHealth,
+    isAnswer: (result) => result?.type === 'answered',
+    // A second check would wait for a slot of the server behind the first.
+    openSharedMs: Number.POSITIVE_INFINITY,
+    now,
+  });
+  const queriesByEvidence: Readonly<Record<Evidence, SharedQueries<unknown>>> = {
+    report: reports,
+    health: healthChecks,
+    'any-answer': reports,
+  };
   return {
-    ask,
+    ask: reports.ask,
+    check: async (id) => {
+      await queriesByEvidence[evidenceOf(id)].ask(id);
+    },
     askUnreported: async (ids) => {
       const unreported = ids.filter((id) => !registry.hasRecentReport(id));
-      await Promise.all(unreported.map(ask));
+      await Promise.all(unreported.map(reports.ask));
       return unreported.length > 0;
     },
     recheckSuspected: (intervalMs) => {
-      for (const { id } of registry.suspicions()) {
-        if (now() - (queries.get(id)?.atMs ?? Number.NEGATIVE_INFINITY) >= intervalMs) void ask(id);
+      for (const suspicion of registry.suspicions()) {
+        const evidence = evidenceOf(suspicion.id);
+        const queries = queriesByEvidence[evidence];
+        const askedMs = queries.askedMs(suspicion.id);
+        const waitMs =
+          evidence === 'report' ? intervalMs : computePlainWaitMs(suspicion, askedMs, intervalMs);
+        if (now() - askedMs >= waitMs) void queries.ask(suspicion.id);
       }
-      for (const [id, { atMs }] of queries) if (now() - atMs > QUERY_KEPT_MS) queries.delete(id);
+      reports.removeOld();
+      healthChecks.removeOld();
     },
   };
 }
+
+/** Doubles the time between two checks of a plain server, up to a limit: each check takes a slot of it. */
+function computePlainWaitMs(
+  { sinceMs }: ServerSuspicion,
+  askedMs: number,
+  intervalMs: number,
+): number {
+  return Math.max(intervalMs, Math.min(MAX_PLAIN_RECHECK_MS, askedMs - sinceMs));
+}
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -15,7 +15,7 @@
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
-import type { Catalog } from '../catalog/catalog';
+import type { Catalog, ServiceProfile } from '../catalog/catalog';
 import type { ClockReading } from '../catalog/confirmation';
 import { createServerRegistry } from '../gateway/createServerRegistry';
 import { createServerProbes } from '../gateway/createServerProbes';
@@ -105,7 +105,9 @@
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
   const firstEventDelays = createFirstEventDelays(now);
   const registry = createServerRegistry({ now, firstEventDelays, log: writeLog, count });
-  const probes = createServerProbes({ registry, protocol, now, log: writeLog });
+  const profileOf = (service: string): ServiceProfile | undefined =>
+    catalogFollower.current()?.services.get(service);
+  const probes = createServerProbes({ registry, protocol, profileOf, now, log: writeLog });
   const self: PeerRecord = {
     vm: settings.vm.name,
     incarnation: randomUUID().slice(0, INCARNATION_CHARS),
@@ -155,10 +157,10 @@
       // Probes the server before trusting the peer's report: the peer itself may be partitioned.
       const server = registry.find(id);
       const isKnown = registry.suspicions().some((suspicion) => suspicion.id === id);
-      if (server?.bornMs === bornMs && !isKnown) void probes.ask(id);
+      if (server?.bornMs === bornMs && !isKnown) void probes.check(id);
     },
     onRecovered: (id) => {
-      if (registry.suspicions().some((suspicion) => suspicion.id === id)) void probes.ask(id);
+      if (registry.suspicions().some((suspicion) => suspicion.id === id)) void probes.check(id);
     },
     now,
     log: writeLog,
