Try a suspected server for a call where there is no other

Cause: where all servers of a service were suspected, every call was refused as not run, however old the suspicions were.

Change: such a call tries one suspected server that does not drain and is not in back-off, once for each request and never one that this request has tried. If it is not reached, the call is refused as not run with a delay, as before. The limits on distinct servers and on calls that are not idempotent are those of any try. An answered call lifts the suspicion of its server; a refusal does not, since 421 comes from another server.

--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -2,6 +2,7 @@
  * Serves a request whose answer is delivered as a whole. A request that is not idempotent is retried only
  * with proof that it has not run. An idempotent request is retried after a failure, on no more servers than
  * the route allows. If two servers fail it, the request itself is at fault and the failure is its answer.
+ * Where every server is suspected, one of them is tried: suspicions may be out of date.
  */
 
 import type { ListedServer } from '../../chains/layerEngine';
@@ -34,19 +35,26 @@
 export async function serveCall(host: GatewayHost, job: Job, history: CallHistory): Promise<void> {
   const { rule, profile } = job;
   const servers = new Set<string>();
+  const triedIds = new Set<string>();
+  let mayTrySuspected = true;
   let failedBy: string | undefined;
   let fallback: ServerReply | undefined;
   let failures = 0;
   let lastOutcome: CallOutcome = { type: 'not-run', detail: 'no server' };
   host.retryBudgets.recordRequest(profile.name);
   for (let tries = 0; tries < MAX_TRIES && !job.isOver(); tries += 1) {
-    const server = chooseServer(host, job, history, {
+    const choice = chooseServer(host, job, history, {
       only: servers.size < rule.maxAttempts ? undefined : servers,
       failedBy,
+      triedIds,
+      mayTrySuspected,
     });
-    if (server === undefined) break;
+    if (choice === undefined) break;
+    const { server, isSuspected } = choice;
     if (servers.size > 0 && !host.retryBudgets.trySpendRetry(profile.name)) break;
-    const outcome = await tryServer(host, job, history, server, tries);
+    triedIds.add(server.id);
+    if (isSuspected) mayTrySuspected = false;
+    const outcome = await tryServer(host, job, history, choice, tries);
     if (outcome.type === 'stopped') return;
     lastOutcome = outcome;
     failedBy = server.id;
@@ -60,6 +68,7 @@
       continue;
     }
     if (outcome.type === 'answered') {
+      host.registry.clearSuspicion(server.id);
       fallback = outcome.reply;
       failures += 1;
       if (outcome.reply.status < FIRST_FAILURE_STATUS || failures >= CONFIRMED_FAILURES) break;
@@ -73,12 +82,12 @@
   host: GatewayHost,
   job: Job,
   history: CallHistory,
-  server: ListedServer,
+  { server, isSuspected }: ChosenServer,
   runs: number,
 ): Promise<CallOutcome> {
   const startedMs = host.now();
   const call = callServer(host, job, server);
-  const isLast = runs + 1 >= job.rule.maxAttempts || !job.rule.isIdempotent;
+  const isLast = isSuspected || runs + 1 >= job.rule.maxAttempts || !job.rule.isIdempotent;
   const timer = isLast
     ? undefined
     : setTimeout(() => {
@@ -94,6 +103,7 @@
   host.log('call tried', {
     id: job.head.id,
     server: server.id,
+    isSuspected,
     end: outcome.type,
     detail: 'detail' in outcome ? outcome.detail : undefined,
     status: outcome.type === 'answered' ? outcome.reply.status : undefined,
@@ -126,24 +136,39 @@
   readonly only: ReadonlySet<string> | undefined;
   /** The server that failed the request last; other servers are preferred. */
   readonly failedBy: string | undefined;
+  /** Servers that the request was sent to, or would have been had they been reached. */
+  readonly triedIds: ReadonlySet<string>;
+  /** Whether a suspected server may be tried where there is no other. */
+  readonly mayTrySuspected: boolean;
+}
+
+interface ChosenServer {
+  readonly server: ListedServer;
+  readonly isSuspected: boolean;
 }
 
 function chooseServer(
   host: GatewayHost,
   job: Job,
   history: CallHistory,
-  { only, failedBy }: ServerChoice,
-): ListedServer | undefined {
-  const allowed = host.registry
-    .usableServers(job.profile.name)
+  { only, failedBy, triedIds, mayTrySuspected }: ServerChoice,
+): ChosenServer | undefined {
+  const { registry } = host;
+  const { name } = job.profile;
+  const suspected = mayTrySuspected
+    ? registry.lastResortServers(name).filter(({ id }) => !triedIds.has(id))
+    : [];
+  const isSuspected = suspected.length > 0;
+  const allowed = (isSuspected ? suspected : registry.usableServers(name))
     .filter(({ id }) => only?.has(id) ?? true)
     .map((server) => ({
       ...server,
-      running: host.registry.running(server.id),
+      running: registry.running(server.id),
       ...history.statisticsOf(server.id),
     }));
   const others = allowed.filter(({ id }) => id !== failedBy);
   const candidates = others.length > 0 ? others : allowed;
   const chosen = chooseCallServer(candidates, host.failureDomain, job.rule.targetMs, host.random());
-  return chosen === undefined ? undefined : host.registry.find(chosen.id);
+  const server = registry.find(chosen?.id ?? '');
+  return server === undefined ? undefined : { server, isSuspected };
 }
--- a/src/gateway/createServerRegistry.test.ts
+++ b/src/gateway/createServerRegistry.test.ts
@@ -43,6 +43,28 @@
     expect(usableIds()).toEqual(['x', 'y']);
   });
 
+  it('offers suspected servers only where no other accepts new requests', () => {
+    const lastResortIds = (): readonly string[] =>
+      registry.lastResortServers('drafts').map(({ id }) => id);
+    registry.list([server('x'), server('y'), server('z', { isDraining: true })]);
+    registry.suspect('x', 'unreached');
+    expect(lastResortIds()).toEqual([]);
+    registry.suspect('y', 'unreached');
+    registry.suspect('z', 'unreached');
+    expect(lastResortIds()).toEqual(['x', 'y']);
+    registry.backOff('x', 60);
+    expect(lastResortIds()).toEqual(['y']);
+    nowMs = 60;
+    expect(lastResortIds()).toEqual(['x', 'y']);
+    expect(registry.lastResortServers('other')).toEqual([]);
+  });
+
+  it('offers no suspected server while the only other one is in back-off', () => {
+    registry.suspect('x', 'unreached');
+    registry.backOff('y', 60);
+    expect([usableIds(), registry.lastResortServers('drafts')]).toEqual([[], []]);
+  });
+
   it('adds the work of other VMs until it is out of date', () => {
     const stages = [{ id: 'x', address: 'x:1', layers: { from: 0, to: 9 } }];
     registry.reserve(stages, 100);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -32,6 +32,11 @@
   readonly findByAddress: (address: string) => ListedServer | undefined;
   /** Servers of a service that accept new requests: not draining, not suspected, not in back-off. */
   readonly usableServers: (service: string) => readonly ListedServer[];
+  /**
+   * Servers of a service of which one may be tried because every server that accepts new requests is
+   * suspected: not draining, not in back-off; none while any of them is not suspected.
+   */
+  readonly lastResortServers: (service: string) => readonly ListedServer[];
   readonly chainEngines: (service: string, model: PipelineModel) => readonly ChainEngine[];
   /** Marks a server as suspected; notifies listeners unless it is suspected already. */
   readonly suspect: (id: string, reason: SuspicionReason, detail?: string) => void;
@@ -146,8 +151,9 @@
     if (next.running <= 0 && next.reserved <= 0) ownLoads.delete(id);
     else ownLoads.set(id, next);
   };
+  const isInBackOff = (id: string): boolean => (backOffUntilMs.get(id) ?? 0) > now();
   const isUsable = ({ id, isDraining }: ListedServer): boolean =>
-    !isDraining && !suspicions.has(id) && (backOffUntilMs.get(id) ?? 0) <= now();
+    !isDraining && !suspicions.has(id) && !isInBackOff(id);
   const paceOf = (id: string): number => {
     const known = reports.get(id);
     return known !== undefined && now() - known.atMs < PACE_VALID_MS ? known.pace : 1;
@@ -209,6 +215,13 @@
     findByAddress: (address) => byAddress.get(address),
     usableServers: (service) =>
       [...listed.values()].filter((server) => server.service === service && isUsable(server)),
+    lastResortServers: (service) => {
+      const servers = [...listed.values()].filter(
+        (server) => server.service === service && !server.isDraining,
+      );
+      if (servers.some(({ id }) => !suspicions.has(id))) return [];
+      return servers.filter(({ id }) => !isInBackOff(id));
+    },
     chainEngines: (service, model) =>
       [...listed.values()].flatMap((server) => {
         if (server.service !== service || !isUsable(server)) return [];
