Let a restart replace an earlier suspicion, and wait longer than relays ask

A suspicion kept its first reason, so an engine that fell silent and then reported another start still counted as silent, and its layers as held for 2.5 s more. And 2.5 s was less than the 3 s at which a VM that relies on relays asks again, so one report that did not come was enough for an executor that is no relay.

A restart now replaces the reason; layers count as lost after 3.5 s.

--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -40,9 +40,10 @@
 
 /**
  * Time from which the layers of a suspected engine count as lost. Sound engines fall silent for shorter, and
- * orders that replace their layers cost the capacity of the engines that load them.
+ * orders that replace their layers cost the capacity of the engines that load them. It is longer than the
+ * time between two probes of a VM that relies on relays.
  */
-const LOST_AFTER_MS = 2_500;
+const LOST_AFTER_MS = 3_500;
 
 /** Delay before the engine of a failed order is planned again. */
 const ORDER_RETRY_MS = 500;
--- a/src/gateway/createSuspicions.test.ts
+++ b/src/gateway/createSuspicions.test.ts
@@ -36,6 +36,14 @@
     ]);
   });
 
+  it('lets a restart replace an earlier reason', () => {
+    const { suspicions } = createRecord();
+    suspicions.raise(server, 'silent', undefined);
+    expect(suspicions.raise(server, 'restarted', undefined)).toBe(false);
+    suspicions.raise(server, 'silent', undefined);
+    expect(suspicions.list()).toEqual([{ id: 'x', bornMs: 5, sinceMs: 100, reason: 'restarted' }]);
+  });
+
   it('drops suspicions of other incarnations', () => {
     const { suspicions } = createRecord();
     suspicions.raise(server, 'silent', undefined);
--- a/src/gateway/createSuspicions.ts
+++ b/src/gateway/createSuspicions.ts
@@ -17,7 +17,11 @@
 }
 
 export interface Suspicions {
-  /** @returns false if the server was suspected already */
+  /**
+   * A restart replaces an earlier reason, since only it proves that the incarnation has ended.
+   *
+   * @returns false if the server was suspected already
+   */
   readonly raise: (
     server: SuspectedServer,
     reason: SuspicionReason,
@@ -50,11 +54,12 @@
   const suspected = new Map<string, ServerSuspicion>();
   return {
     raise: ({ id, address, bornMs }, reason, detail) => {
-      if (suspected.has(id)) return false;
-      suspected.set(id, { id, bornMs, sinceMs: now(), reason });
+      const known = suspected.get(id);
+      if (known !== undefined && (known.reason === reason || reason !== 'restarted')) return false;
+      suspected.set(id, { id, bornMs, sinceMs: known?.sinceMs ?? now(), reason });
       count('suspicions', reason);
       log('server suspected', { server: id, address, reason, detail });
-      return true;
+      return known === undefined;
     },
     lift: (id) => {
       const suspicion = suspected.get(id);
@@ -72,8 +77,10 @@
     has: (id) => suspected.has(id),
     list: () => [...suspected.values()],
     retain: (servers) => {
-      for (const [id, { bornMs }] of suspected) {
-        if (servers.get(id)?.bornMs !== bornMs) suspected.delete(id);
+      for (const [id, { bornMs, reason }] of suspected) {
+        if (servers.get(id)?.bornMs === bornMs) continue;
+        suspected.delete(id);
+        log('suspected server gone or restarted', { server: id, reason });
       }
     },
   };
