Reserve the chain that a silent stream moves to

An engine that does not know a run any more ended its stream at once, though its last events may be on their way. A silence in every run sent a stream to and fro between its servers. And a stream that is limited to servers that had it before could not use them, since the end of their back-off woke nobody, and kept others in the queue from being woken.

Now a chain is found and reserved in one step, by waiting and by moving streams alike. A retry counts as spent when something was sent. A silent stream moves only to a server that has not had it; one that is limited to its servers looks for them at intervals, outside the queue. A run that is gone makes a move due once no events come; an engine that is unlisted or has restarted counts as doubtful too. The end of a back-off is announced.

--- a/src/adapters/gateway/createChainRepair.test.ts
+++ b/src/adapters/gateway/createChainRepair.test.ts
@@ -48,15 +48,17 @@
     log: () => undefined,
     count: () => undefined,
   } as unknown as GatewayHost;
+  const stages = [createStage('a', 0, 3), createStage('b', 3, 6), createStage('c', 6, 8)];
   const repair = createChainRepair(host, {
     job: { head: { id: 'r' }, profile: { name: 'drafts' } } as unknown as Job,
     model: testModel,
-    stages: [createStage('a', 0, 3), createStage('b', 3, 6), createStage('c', 6, 8)],
+    stages,
+    reservation: registry.reserve(stages, 100),
     tokens: 100,
     isOver: () => false,
     hasEvents: () => true,
     silentMs: () => 0,
-    onBroken: () => undefined,
+    onRunGone: () => undefined,
   });
   return { board: registry, repair, paths, asked: probed };
 }
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -9,6 +9,7 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { replaceStages } from '../../chains/replaceStages';
 import type { OrderResult } from '../../gateway/backendProtocol';
+import type { Reservation } from '../../gateway/createServerRegistry';
 import type { GatewayHost, Job } from '../../gateway/job';
 
 export interface ChainRepair {
@@ -31,13 +32,16 @@
   /** Undefined for a service without chains, where one server answers the whole request. */
   readonly model: PipelineModel | undefined;
   readonly stages: readonly Stage[];
+  /** Capacity that is reserved on the stages. */
+  readonly reservation: Reservation;
   /** Expected tokens of prompt and answer at the end of the request. */
   readonly tokens: number;
   readonly isOver: () => boolean;
   readonly hasEvents: () => boolean;
   /** Time since the last event, milliseconds. */
   readonly silentMs: () => number;
-  readonly onBroken: (detail: string) => void;
+  /** Called when the first engine no longer knows the run; its last events may still be on their way. */
+  readonly onRunGone: () => void;
 }
 
 /** Back-off of an engine that rejected a repair. */
@@ -46,13 +50,12 @@
 /** HTTP status of an order for a request that the engine does not run. */
 const NO_SUCH_RUN = 404;
 
-/** Reserves capacity on the stages. */
+/** Takes over the reservation, and replaces it with each repair. */
 export function createChainRepair(host: GatewayHost, options: ChainRepairOptions): ChainRepair {
   const { job, model, tokens, isOver } = options;
   const { registry, protocol, now } = host;
   const [entry] = options.stages;
-  let { stages } = options;
-  let reservation = registry.reserve(stages, tokens);
+  let { stages, reservation } = options;
   let isRepairing = false;
   let probedMs = Number.NEGATIVE_INFINITY;
   let repairedMs = Number.NEGATIVE_INFINITY;
@@ -102,7 +105,7 @@
       registry.backOff(rejectingServer.id, REPAIR_BACKOFF_MS);
       // Its report excludes it from new paths for as long as it is full.
       void host.probes.ask(rejectingServer.id);
-    } else if (status === NO_SUCH_RUN && options.hasEvents()) options.onBroken('run is gone');
+    } else if (status === NO_SUCH_RUN && options.hasEvents()) options.onRunGone();
   };
   /** Finds engines of the chain that are suspected, or that the first engine waits for. */
   const findSuspects = (waitedFor: ReadonlySet<string>): ReadonlySet<string> => {
--- /dev/null
+++ b/src/adapters/gateway/createStreamMove.ts
@@ -0,0 +1,58 @@
+/**
+ * Moves a silent stream to another first engine. The run is ended only once another one can follow; until
+ * then the engine may still go on.
+ */
+
+import type { GatewayHost, Job } from '../../gateway/job';
+import type { StreamLimit } from './finishStream';
+
+export interface StreamMove {
+  /** Whether the first engine is suspected, has restarted or is not listed any more. */
+  readonly isEntryDoubtful: () => boolean;
+  /** Ends the run if another one is prepared; without effect shortly after an earlier try. */
+  readonly tryMove: (silentMs: number) => void;
+}
+
+export interface StreamMoveOptions {
+  readonly job: Job;
+  /** Id of the first engine. */
+  readonly entry: string;
+  /** Prepares another attempt; returns what rules it out, undefined if the stream may move. */
+  readonly prepareMove: () => StreamLimit | undefined;
+  readonly onMove: () => void;
+}
+
+/** Time between two tries, since each searches for a chain. */
+const MOVE_INTERVAL_MS = 200;
+
+/** Creates the move of one attempt, whose first engine is the incarnation that is listed now. */
+export function createStreamMove(host: GatewayHost, options: StreamMoveOptions): StreamMove {
+  const { job, entry } = options;
+  const { registry, now } = host;
+  const { bornMs } = registry.find(entry) ?? {};
+  let triedMs = Number.NEGATIVE_INFINITY;
+  let isKeptLogged = false;
+  const isEntryDoubtful = (): boolean =>
+    registry.isSuspected(entry) || registry.find(entry)?.bornMs !== bornMs;
+  return {
+    isEntryDoubtful,
+    tryMove: (silentMs) => {
+      if (now() - triedMs < MOVE_INTERVAL_MS) return;
+      triedMs = now();
+      const limit = options.prepareMove();
+      if (limit === undefined) {
+        options.onMove();
+        return;
+      }
+      if (isKeptLogged) return;
+      isKeptLogged = true;
+      host.log('silent stream kept', {
+        id: job.head.id,
+        entry,
+        limit,
+        silentMs: Math.round(silentMs),
+        isDoubtful: isEntryDoubtful(),
+      });
+    },
+  };
+}
--- a/src/adapters/gateway/findStreamChain.ts
+++ b/src/adapters/gateway/findStreamChain.ts
@@ -9,24 +9,24 @@
 export interface StreamChainSearch {
   /** Expected tokens of prompt and answer. */
   readonly tokens: number;
-  /**
-   * Longest expected delay of the first event, milliseconds; undefined for a stream that has already sent
-   * events.
-   */
-  readonly maxStartMs?: number | undefined;
+  /** Whether the caller has received events; the chain may then take longer to send the next. */
+  readonly hasBegun: boolean;
   /** Engines to which the request may be sent; all if undefined. */
   readonly entries?: ReadonlySet<string> | undefined;
   /** Engines that must not be used. */
   readonly excluded?: ReadonlySet<string>;
 }
 
+/** Maximum expected first-event delay, in targets; beyond it, a later retry is no slower. */
+const MAX_FIRST_EVENT_TARGETS = 1.5;
+
 const NONE: ReadonlySet<string> = new Set();
 
 /** @returns undefined if no chain has capacity */
 export function findStreamChain(
   host: GatewayHost,
   job: Job,
-  { tokens, maxStartMs, entries, excluded = NONE }: StreamChainSearch,
+  { tokens, hasBegun, entries, excluded = NONE }: StreamChainSearch,
 ): readonly Stage[] | undefined {
   const { registry } = host;
   const { name, model } = job.profile;
@@ -47,14 +47,10 @@
     tokens,
     fromDomain: host.failureDomain,
     domainDelayMs: model.domainDelayMs,
-    crossDomainMs: computeCrossDomainCost(
-      model,
-      registry.crossingShare(model),
-      maxStartMs === undefined,
-    ),
+    crossDomainMs: computeCrossDomainCost(model, registry.crossingShare(model), hasBegun),
     excluded,
     entries,
     isEntry: true,
-    ...(maxStartMs === undefined ? {} : { maxFirstEventDelayMs: maxStartMs }),
+    ...(hasBegun ? {} : { maxFirstEventDelayMs: job.rule.targetMs * MAX_FIRST_EVENT_TARGETS }),
   });
 }
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -56,6 +56,6 @@
 
 /** Where no chain covers the model, engines must load layers before a retry can succeed. */
 function chooseRetryDelay(host: GatewayHost, job: Job): number {
-  const empty = findStreamChain(host, job, { tokens: 0, maxStartMs: Infinity });
+  const empty = findStreamChain(host, job, { tokens: 0, hasBegun: true });
   return empty === undefined ? NO_CHAIN_RETRY_MS : FULL_RETRY_MS;
 }
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -24,6 +24,8 @@
 export interface Exchange {
   /** Closes the connection; no handler is called afterwards. */
   readonly abort: () => void;
+  /** Whether bytes may have reached the server. */
+  readonly isSent: () => boolean;
 }
 
 /** Allows several round trips between failure domains. */
@@ -84,6 +86,7 @@
   });
   outgoing.end(request.body);
   return {
+    isSent: () => isSent,
     abort: () => {
       isOver = true;
       clearTimeout(timer);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -5,13 +5,14 @@
 
 import type { IncomingMessage } from 'node:http';
 import type { PipelineModel } from '../../chains/pipelineModel';
-import type { Stage } from '../../chains/layerEngine';
 import { createChainRepair } from './createChainRepair';
+import { createStreamMove } from './createStreamMove';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { evaluateSilence } from '../../gateway/evaluateSilence';
 import { openExchange } from './openExchange';
 import { planStreamMigration } from '../../gateway/planStreamMigration';
 import { readReplyBody } from './readReplyBody';
+import type { ReservedChain } from './reserveStreamChain';
 import { splitEvents } from '../../gateway/splitEvents';
 import type { StreamEvent } from '../../gateway/splitEvents';
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
@@ -37,14 +38,11 @@
 /** Maximum migration tries; a stream that has found no capacity by then mostly ends before there is some. */
 const MAX_MIGRATION_TRIES = 3;
 
-/** Time between two tries to move a silent stream, since each searches for a chain. */
-const MOVE_INTERVAL_MS = 200;
-
 export interface StreamAttemptOptions {
   readonly job: Job;
   /** Undefined for a service without chains, where one server answers the whole request. */
   readonly model: PipelineModel | undefined;
-  readonly stages: readonly Stage[];
+  readonly chain: ReservedChain;
   /** Expected tokens of prompt and answer at the end of the request. */
   readonly tokens: number;
   /** Expected number of events of the whole stream. */
@@ -71,15 +69,18 @@
   resolve: (end: AttemptOutcome) => void,
 ): void {
   const { job, model, tokens } = options;
+  const { stages, reservation } = options.chain;
   const { protocol, registry, watch, now } = host;
   const startedMs = now();
   let progress: StreamProgress = { ...options.progress, lastActivityMs: startedMs };
-  const firstEventDelay = host.firstEventDelays.trackStream(options.stages[0]?.id ?? '');
+  const firstEventDelay = host.firstEventDelays.trackStream(stages[0]?.id ?? '');
   let hasOwnEvents = false;
+  let isRunGone = false;
   const migrationTimers = new Set<NodeJS.Timeout>();
   let isOver = false;
-  const [entry] = options.stages;
+  const [entry] = stages;
   if (entry === undefined) {
+    reservation.release();
     resolve({ type: 'unreached', detail: 'empty chain' });
     return;
   }
@@ -88,12 +89,13 @@
     job,
     model,
     tokens,
-    stages: options.stages,
+    stages,
+    reservation,
     isOver: () => isOver,
     hasEvents: () => hasOwnEvents,
     silentMs: () => now() - progress.lastActivityMs,
-    onBroken: (detail) => {
-      endAttempt({ type: 'broken', detail });
+    onRunGone: () => {
+      isRunGone = true;
     },
   });
   const endAttempt = (outcome: AttemptOutcome): void => {
@@ -196,27 +198,14 @@
     }, delayMs);
     migrationTimers.add(timer);
   };
-  let triedMoveMs = Number.NEGATIVE_INFINITY;
-  let isKeptLogged = false;
-  /** Ends this attempt only if another one can follow; otherwise the engine may still go on. */
-  const moveIfPossible = (nowMs: number, silentMs: number): void => {
-    if (nowMs - triedMoveMs < MOVE_INTERVAL_MS) return;
-    triedMoveMs = nowMs;
-    const limit = options.prepareMove();
-    if (limit === undefined) {
+  const move = createStreamMove(host, {
+    job,
+    entry: entry.id,
+    prepareMove: options.prepareMove,
+    onMove: () => {
       endAttempt({ type: 'broken', detail: 'silent' });
-      return;
-    }
-    if (isKeptLogged) return;
-    isKeptLogged = true;
-    host.log('silent stream kept', {
-      id: job.head.id,
-      entry: entry.id,
-      limit,
-      silentMs: Math.round(silentMs),
-      isSuspected: registry.isSuspected(entry.id),
-    });
-  };
+    },
+  });
   const watchedStream = {
     check: () => {
       const nowMs = now();
@@ -228,10 +217,13 @@
         targetMs: job.rule.targetMs,
         targetGapMs: job.rule.targetGapMs,
         entryEngineSilentMs: nowMs - registry.lastEventMs(entry.id),
-        isEntrySuspected: registry.isSuspected(entry.id),
+        isEntrySuspected: move.isEntryDoubtful(),
+        isRunGone,
+        hasBegun: progress.events > 0,
+        sinceArrivalMs: nowMs - job.arrivedMs,
         sinceProbeMs: nowMs - chain.probedMs(),
       });
-      if (isMoveDue) moveIfPossible(nowMs, silentMs);
+      if (isMoveDue && exchange.isSent()) move.tryMove(silentMs);
       if (isProbeDue && !isOver) void chain.probe();
     },
     onServerSuspected: (id: string) => {
@@ -253,7 +245,7 @@
     serverId: entry.id,
     workspace: job.workspace,
     priority: job.priority,
-    stages: model === undefined ? [] : options.stages,
+    stages: model === undefined ? [] : stages,
     lastEventId: progress.lastEventId,
   });
   job.markSent();
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -7,9 +7,10 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import type { AdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
-import { findStreamChain } from './findStreamChain';
 import { finishStream } from './finishStream';
 import type { StreamLimit } from './finishStream';
+import { reserveStreamChain } from './reserveStreamChain';
+import type { ReservedChain } from './reserveStreamChain';
 import { runStreamAttempt } from './runStreamAttempt';
 import type { AttemptOutcome } from './runStreamAttempt';
 import type { StreamProgress } from '../../gateway/streamProgress';
@@ -38,40 +39,51 @@
   let sentAttempts = 0;
   /** Servers that may have run the request; a server that is silent afterwards still counts. */
   const runServers = new Set<string>();
-  /** Retries that were spent ahead of the next attempt. */
-  let spentRetries = 0;
+  /** Whether a retry was spent for an attempt that has not been sent yet. */
+  let isRetrySpent = false;
+  /** A chain that a silent stream may move to. */
+  let prepared: ReservedChain | undefined;
   let lastOutcome: AttemptOutcome | undefined;
   let limit: StreamLimit | undefined;
-  const trySpendRetry = (): boolean => host.retryBudgets.trySpendRetry(profile.name);
+  const trySpendRetry = (): boolean => {
+    isRetrySpent ||= host.retryBudgets.trySpendRetry(profile.name);
+    return isRetrySpent;
+  };
+  /** Moves only to a server that has not had the request, so that silences do not send it to and fro. */
   const prepareMove = (entry: string): StreamLimit | undefined => {
     if (!rule.isResumable) return 'not resumable';
-    const entries = limitEntries(new Set([...runServers, entry]), rule.maxAttempts);
-    const next = findStreamChain(host, job, { tokens, entries, excluded: new Set([entry]) });
-    if (next === undefined) return entries === undefined ? 'no chain' : 'attempts of the route';
-    if (!trySpendRetry()) return 'retry budget';
-    spentRetries += 1;
-    return undefined;
+    const excluded = new Set([...runServers, entry]);
+    if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
+    const hasBegun = progress.events > 0;
+    prepared = reserveStreamChain(host, job, { tokens, hasBegun, excluded });
+    if (prepared === undefined) return 'no chain';
+    if (trySpendRetry()) return undefined;
+    prepared.reservation.release();
+    prepared = undefined;
+    return 'retry budget';
   };
   host.retryBudgets.recordRequest(profile.name);
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
-    const entries = limitEntries(runServers, rule.maxAttempts);
+    const entries = runServers.size < rule.maxAttempts ? undefined : runServers;
     const hasBegun = progress.events > 0;
-    const stages = await waitForStreamChain(host, job, queue, { tokens, hasBegun, entries });
-    if (job.isOver()) return;
-    if (stages === undefined) {
+    const chain =
+      prepared ?? (await waitForStreamChain(host, job, queue, { tokens, hasBegun, entries }));
+    prepared = undefined;
+    if (chain === undefined) {
       limit = entries === undefined ? 'no chain' : 'attempts of the route';
       break;
     }
-    if (sentAttempts > 0 && spentRetries === 0 && !trySpendRetry()) {
+    if (sentAttempts > 0 && !trySpendRetry()) {
+      chain.reservation.release();
       limit = 'retry budget';
       break;
     }
-    spentRetries = 0;
+    const { stages } = chain;
     const entry = stages[0]?.id ?? '';
     const outcome = await runStreamAttempt(host, {
       job,
       model: profile.model,
-      stages,
+      chain,
       tokens,
       expectedEvents: estimateEvents(job),
       progress,
@@ -85,7 +97,10 @@
     if (outcome.type === 'stopped') return;
     lastOutcome = outcome;
     if (outcome.type === 'unreached') host.registry.suspect(entry, 'unreached', outcome.detail);
-    else sentAttempts += 1;
+    else {
+      sentAttempts += 1;
+      isRetrySpent = false;
+    }
     if (outcome.type === 'complete') {
       job.response.end();
       return;
@@ -99,19 +114,13 @@
       void host.probes.ask(entry);
     }
   }
+  // The caller may have left just after a move was prepared.
+  prepared?.reservation.release();
   if (job.isOver()) return;
   const { events } = progress;
   finishStream(host, job, lastOutcome, { limit, events, runs: runServers.size });
 }
 
-/** @returns the servers to which a request may be sent, undefined for all */
-function limitEntries(
-  runServers: ReadonlySet<string>,
-  maxAttempts: number,
-): ReadonlySet<string> | undefined {
-  return runServers.size < maxAttempts ? undefined : runServers;
-}
-
 /** Estimates the tokens of the prompt and the answer together. */
 function estimateTokens({ head, profile }: Job): number {
   const meanAnswerTokens = profile.model?.meanAnswerTokens ?? 0;
--- a/src/adapters/gateway/waitForStreamChain.ts
+++ b/src/adapters/gateway/waitForStreamChain.ts
@@ -1,22 +1,26 @@
 /** Waits a bounded time for a chain of engines with capacity for a stream. */
 
-import type { Stage } from '../../chains/layerEngine';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { GatewayHost, Job } from '../../gateway/job';
 import type { AdmissionQueue } from './createAdmissionQueue';
-import { findStreamChain } from './findStreamChain';
+import { reserveStreamChain } from './reserveStreamChain';
+import type { ReservedChain } from './reserveStreamChain';
 
 /** Share of the target for the first event that a request may wait for capacity. */
 const FIRST_EVENT_WAIT_SHARE = 0.25;
 
-/** Maximum expected first-event delay, in targets; beyond it, a later retry is no slower. */
-const MAX_FIRST_EVENT_TARGETS = 1.5;
-
 /** Longest wait of a retried request: it is already late, and its caller may not try again. */
 const RETRY_WAIT_MS = 400;
 
 /** Longest wait of an interrupted stream for capacity to continue; callers leave soon after. */
 const RESUME_WAIT_MS = 1_200;
 
+/**
+ * Interval at which a stream looks whether the servers that it is limited to can be used again. It does not
+ * queue, since it could not use the room for which it would be woken in place of others.
+ */
+const LIMITED_POLL_MS = 100;
+
 export interface StreamChainWait {
   /** Expected tokens of prompt and answer. */
   readonly tokens: number;
@@ -34,32 +38,33 @@
   job: Job,
   queue: AdmissionQueue,
   { tokens, hasBegun, entries }: StreamChainWait,
-): Promise<readonly Stage[] | undefined> {
+): Promise<ReservedChain | undefined> {
   const firstWaitMs = job.isRetry ? RETRY_WAIT_MS : job.rule.targetMs * FIRST_EVENT_WAIT_SHARE;
   const maxWaitMs = hasBegun ? RESUME_WAIT_MS : firstWaitMs;
-  const maxStartMs = job.rule.targetMs * MAX_FIRST_EVENT_TARGETS;
   const untilMs = Math.min(job.expiresMs, host.now() + maxWaitMs);
   // Probes only once: servers that do not answer probes must not delay the request further.
   let mayProbe = host.isRecentlyStarted();
-  for (;;) {
-    const stages = findStreamChain(host, job, {
-      tokens,
-      entries,
-      maxStartMs: hasBegun ? undefined : maxStartMs,
-    });
-    if (stages !== undefined) {
-      const ids = stages.map(({ id }) => id);
+  let isLastSearch = false;
+  while (!job.isOver()) {
+    const chain = reserveStreamChain(host, job, { tokens, hasBegun, entries });
+    if (chain !== undefined) {
+      const ids = chain.stages.map(({ id }) => id);
       const hasNewReports = mayProbe && (await host.probes.askUnreported(ids));
-      if (!hasNewReports) return stages;
+      if (!hasNewReports && !job.isOver()) return chain;
+      chain.reservation.release();
       mayProbe = false;
-    } else if (entries !== undefined && ![...entries].some((id) => canReturn(host, id))) {
+    } else if (isLastSearch) {
       return undefined;
+    } else if (entries === undefined) {
+      isLastSearch = !(await queue.wait(hasBegun ? -1 : job.priority, untilMs));
     } else {
-      const isWoken = await queue.wait(hasBegun ? -1 : job.priority, untilMs);
-      if (!isWoken) return undefined;
+      if (![...entries].some((id) => canReturn(host, id))) return undefined;
+      const waitMs = Math.min(LIMITED_POLL_MS, untilMs - host.now());
+      isLastSearch = waitMs < LIMITED_POLL_MS;
+      if (waitMs > 0) await sleep(waitMs);
     }
-    if (job.isOver()) return undefined;
   }
+  return undefined;
 }
 
 /** Whether an engine that cannot be used now may be usable soon. */
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -95,6 +95,8 @@
   readonly firstEventDelays: FirstEventDelays;
   readonly log: (message: string, fields: LogFields) => void;
   readonly count?: (counter: string, label: string) => void;
+  /** Runs a function later; used to announce that a server can be used again. */
+  readonly callLater?: (run: () => void, delayMs: number) => void;
 }
 
 /** Age at which another VM's work no longer counts; several heartbeats were missed by then. */
@@ -109,11 +111,13 @@
 /** Step time assumed for an engine of unknown kind, as a multiple of the reference kind's. */
 const UNKNOWN_STEP_FACTOR = 16;
 
+const noop = (): void => undefined;
+
 const NO_LOAD: ServerLoad = { reserved: 0, running: 0 };
 
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
-  const { now, log, firstEventDelays, count = () => undefined } = options;
+  const { now, log, firstEventDelays, count = noop, callLater = noop } = options;
   let listed = new Map<string, ListedServer>();
   let byAddress = new Map<string, ListedServer>();
   const suspicions = createSuspicions({ now, log, count });
@@ -240,6 +244,7 @@
     suspicions: suspicions.list,
     backOff: (id, forMs) => {
       backOffUntilMs.set(id, now() + forMs);
+      callLater(notifyChange, forMs);
     },
     recordReport: (id, { pace, memoryShare }) => {
       reports.set(id, { pace, memoryShare, atMs: now() });
--- a/src/gateway/evaluateSilence.test.ts
+++ b/src/gateway/evaluateSilence.test.ts
@@ -9,6 +9,9 @@
   targetGapMs: 200,
   entryEngineSilentMs: 10_000,
   isEntrySuspected: false,
+  isRunGone: false,
+  hasBegun: true,
+  sinceArrivalMs: 10_000,
   sinceProbeMs: 10_000,
   ...more,
 });
@@ -53,10 +56,22 @@
   });
 
   it('moves a stream without events off an engine that does not answer while it can be in time', () => {
-    const waiting = { hasEvents: false, isEntrySuspected: true };
-    expect(isMoveDue({ ...waiting, silentMs: 100 })).toBe(true);
-    expect(isMoveDue({ ...waiting, silentMs: 600 })).toBe(false);
-    expect(isMoveDue({ ...waiting, silentMs: 1_200 })).toBe(true);
-    expect(isMoveDue({ ...waiting, silentMs: 100, isEntrySuspected: false })).toBe(false);
+    const waiting = { hasEvents: false, hasBegun: false, isEntrySuspected: true };
+    expect(isMoveDue({ ...waiting, silentMs: 100, sinceArrivalMs: 100 })).toBe(true);
+    expect(isMoveDue({ ...waiting, silentMs: 100, sinceArrivalMs: 600 })).toBe(false);
+    expect(isMoveDue({ ...waiting, silentMs: 1_200, sinceArrivalMs: 1_200 })).toBe(true);
+    const answering = { ...waiting, isEntrySuspected: false };
+    expect(isMoveDue({ ...answering, silentMs: 100, sinceArrivalMs: 100 })).toBe(false);
+  });
+
+  it('gives a resumed stream as much time as a stream with events', () => {
+    const resumed = { hasEvents: false, hasBegun: true, isEntrySuspected: true };
+    expect(isMoveDue({ ...resumed, silentMs: 100, sinceArrivalMs: 100 })).toBe(false);
+    expect(isMoveDue({ ...resumed, silentMs: 1_200 })).toBe(true);
+  });
+
+  it('moves a stream whose run the engine does not know, once no events come any more', () => {
+    expect(isMoveDue({ isRunGone: true, silentMs: 199 })).toBe(false);
+    expect(isMoveDue({ isRunGone: true, silentMs: 200 })).toBe(true);
   });
 });
--- a/src/gateway/evaluateSilence.ts
+++ b/src/gateway/evaluateSilence.ts
@@ -19,8 +19,14 @@
   readonly targetGapMs: number;
   /** Time since the last event of any stream through the same first engine, milliseconds. */
   readonly entryEngineSilentMs: number;
-  /** Whether the first engine is suspected to have failed. */
+  /** Whether the first engine is suspected to have failed, has restarted or is not listed any more. */
   readonly isEntrySuspected: boolean;
+  /** Whether the first engine says that it does not know the run any more. */
+  readonly isRunGone: boolean;
+  /** Whether the caller has received events, of this run or another. */
+  readonly hasBegun: boolean;
+  /** Time since the request arrived, milliseconds. */
+  readonly sinceArrivalMs: number;
   /** Time since the engines were last probed, milliseconds. */
   readonly sinceProbeMs: number;
 }
@@ -64,12 +70,13 @@
     targetGapMs * PATIENCE_GAPS,
   );
   const isOutOfPatience = silentMs >= patienceMs * MOVE_SHARE;
-  const isStartAtRisk = isEntrySuspected && !hasEvents && silentMs < targetMs;
+  const isStartAtRisk = isEntrySuspected && !silence.hasBegun && silence.sinceArrivalMs < targetMs;
+  const isLost = silence.isRunGone && silentMs >= targetGapMs;
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
   return {
     isProbeDue: silentMs >= unusualMs && silence.sinceProbeMs >= PROBE_INTERVAL_MS,
-    isMoveDue: isStartAtRisk || (isOutOfPatience && (isSilentAlone || isEntrySuspected)),
+    isMoveDue: isStartAtRisk || isLost || (isOutOfPatience && (isSilentAlone || isEntrySuspected)),
   };
 }
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { callLater } from '../adapters/gateway/callLater';
 import { createExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
@@ -104,7 +105,7 @@
   const { count, observe } = metrics;
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
   const firstEventDelays = createFirstEventDelays(now);
-  const registry = createServerRegistry({ now, firstEventDelays, log: writeLog, count });
+  const registry = createServerRegistry({ now, firstEventDelays, log: writeLog, count, callLater });
   const profileOf = (service: string): ServiceProfile | undefined =>
     catalogFollower.current()?.services.get(service);
   const probes = createServerProbes({ registry, protocol, profileOf, now, log: writeLog });
