Refuse a call as not run only if none of its tries may have run

Cause: serveCall chose the refusal by the last try alone. Where a call that may be repeated was abandoned or lost its answer (`unknown`) and the tries after it ended with proof that they had not run, the caller got 503 with a time to come back, which promises that the request has not run and never will.

Ruled out: forgetting the first run once another server has refused; the proof of one server says nothing of the run on another.

Change: chooseCallRefusal looks at the ends of all tries. The log line keeps its cause, the last end, and names the refusal.

--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -8,6 +8,8 @@
 import type { ListedServer } from '../../chains/layerEngine';
 import type { CallOutcome, ServerReply } from './callServer';
 import { callServer } from './callServer';
+import type { CallEnd } from '../../gateway/chooseCallRefusal';
+import { chooseCallRefusal } from '../../gateway/chooseCallRefusal';
 import { chooseCallServer } from '../../gateway/chooseCallServer';
 import type { CallHistory } from '../../gateway/createCallHistory';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -40,7 +42,7 @@
   let failedBy: string | undefined;
   let fallback: ServerReply | undefined;
   let failures = 0;
-  let lastOutcome: CallOutcome = { type: 'not-run', detail: 'no server' };
+  const ends: CallEnd[] = [];
   host.retryBudgets.recordRequest(profile.name);
   for (let tries = 0; tries < MAX_TRIES && !job.isOver(); tries += 1) {
     const choice = chooseServer(host, job, history, {
@@ -56,7 +58,7 @@
     if (isSuspected) mayTrySuspected = false;
     const outcome = await tryServer(host, job, history, choice, tries);
     if (outcome.type === 'stopped') return;
-    lastOutcome = outcome;
+    ends.push(outcome.type);
     failedBy = server.id;
     if (outcome.type === 'unreached') {
       host.registry.suspect(server.id, 'unreached', outcome.detail);
@@ -75,7 +77,7 @@
     }
     if (!rule.isIdempotent) break;
   }
-  if (!job.isOver()) sendFinalResponse(host, job, fallback, lastOutcome);
+  if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
 
 async function tryServer(
@@ -116,7 +118,7 @@
   host: GatewayHost,
   job: Job,
   reply: ServerReply | undefined,
-  lastEnd: CallOutcome,
+  ends: readonly CallEnd[],
 ): void {
   if (reply !== undefined) {
     job.response.writeHead(reply.status, { ...reply.headers, 'content-length': reply.body.length });
@@ -124,11 +126,11 @@
     host.observe('call', host.now() - job.arrivedMs);
     return;
   }
-  const isNotRun = lastEnd.type === 'not-run' || lastEnd.type === 'unreached';
-  host.count('refusals', isNotRun ? 'not-run' : 'unknown-outcome');
-  host.log('call refused', { id: job.head.id, cause: lastEnd.type });
-  if (isNotRun) refuseJob(job.response, 'not-run', host.protocol, { retryAfterMs: RETRY_AFTER_MS });
-  else refuseJob(job.response, 'unknown-outcome', host.protocol);
+  const refusal = chooseCallRefusal(ends);
+  const retryAfterMs = refusal === 'not-run' ? RETRY_AFTER_MS : undefined;
+  host.count('refusals', refusal);
+  host.log('call refused', { id: job.head.id, refusal, cause: ends.at(-1) ?? 'not-run' });
+  refuseJob(job.response, refusal, host.protocol, { retryAfterMs });
 }
 
 interface ServerChoice {
