Keep a silent call until another server can take it

Cause: the timer of a try abandoned the call after 1.3 targets whether or not it could go anywhere. Where the retry budget was spent the caller got 502 at once though its server would have answered a moment later; where no other server was left, the same servers ran the request again. Whether a try was the last was told by counting tries, so a server that was not reached used up one of the route's servers. A retry spent on a server that was not reached was spent again for the one after it.

Ruled out: a longer timer, which only moves the point at which an answer is lost; going back to a server that was abandoned, which gives up a second run for no better chance.

Change: mayMoveCall decides by distinct servers and remaining tries whether a try may be left; a try on a suspected server is never left, as before. The timer then takes a usable server that has not received the request, and a retry; without both it looks again every 100 ms until the call ends or expires. The call moves to the server found. The retry is kept until a server has received the request, and not given back. Tries and choice of servers move to tryCallServer and findCallServer. The log line of a try names the server it moved to.

--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -2,21 +2,21 @@
  * Serves a request whose answer is delivered as a whole. A request that is not idempotent is retried only
  * with proof that it has not run. An idempotent request is retried after a failure, on no more servers than
  * the route allows. If two servers fail it, the request itself is at fault and the failure is its answer.
- * Where every server is suspected, one of them is tried: suspicions may be out of date.
+ * Where every server is suspected, one of them is tried: suspicions may be out of date. A silent server may
+ * go on, so an idempotent request is taken from it only once another server and a retry are at hand.
  */
 
-import type { ListedServer } from '../../chains/layerEngine';
-import type { CallOutcome, ServerReply } from './callServer';
-import { callServer } from './callServer';
+import type { ServerReply } from './callServer';
 import type { CallEnd } from '../../gateway/chooseCallRefusal';
 import { chooseCallRefusal } from '../../gateway/chooseCallRefusal';
-import { chooseCallServer } from '../../gateway/chooseCallServer';
 import type { CallHistory } from '../../gateway/createCallHistory';
+import { isServerFailure } from '../../gateway/isServerFailure';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { mayMoveCall } from '../../gateway/mayMoveCall';
+import type { ChosenServer } from './findCallServer';
+import { findCallServer } from './findCallServer';
 import { refuseJob } from './refuseJob';
-
-/** Multiple of the target latency after which an idempotent call is tried on another server. */
-const RETRY_AFTER_TARGETS = 1.3;
+import { tryCallServer } from './tryCallServer';
 
 /** Delay before the caller may retry after all servers were full or did not answer. */
 const RETRY_AFTER_MS = 250;
@@ -24,9 +24,6 @@
 /** Failed answers after which the failure is attributed to the request, not to a server. */
 const CONFIRMED_FAILURES = 2;
 
-/** Lowest HTTP status that reports a failure of the server. */
-const FIRST_FAILURE_STATUS = 500;
-
 /** Back-off of a server that refused a call: the time of a few calls. */
 const REFUSAL_BACKOFF_MS = 60;
 
@@ -43,20 +40,39 @@
   let fallback: ServerReply | undefined;
   let failures = 0;
   const ends: CallEnd[] = [];
+  let next: ChosenServer | undefined;
+  /** Whether a retry was spent and no server has received the request since. */
+  let hasRetry = false;
   host.retryBudgets.recordRequest(profile.name);
   for (let tries = 0; tries < MAX_TRIES && !job.isOver(); tries += 1) {
-    const choice = chooseServer(host, job, history, {
-      only: servers.size < rule.maxAttempts ? undefined : servers,
-      failedBy,
-      triedIds,
-      mayTrySuspected,
-    });
+    const choice: ChosenServer | undefined =
+      next ??
+      findCallServer(host, job, history, {
+        only: servers.size < rule.maxAttempts ? undefined : servers,
+        failedBy,
+        triedIds,
+        mayTrySuspected,
+      });
     if (choice === undefined) break;
     const { server, isSuspected } = choice;
-    if (servers.size > 0 && !host.retryBudgets.trySpendRetry(profile.name)) break;
+    if (servers.size > 0) hasRetry ||= host.retryBudgets.trySpendRetry(profile.name);
+    if (servers.size > 0 && !hasRetry) break;
     triedIds.add(server.id);
     if (isSuspected) mayTrySuspected = false;
-    const outcome = await tryServer(host, job, history, choice, tries);
+    const sentTo = new Set([...servers, server.id]);
+    const mayMove = mayMoveCall({
+      isIdempotent: rule.isIdempotent,
+      maxAttempts: rule.maxAttempts,
+      servers: sentTo,
+      remainingTries: MAX_TRIES - tries - 1,
+      isSuspected,
+    });
+    const takeNext = (): ChosenServer | undefined => takeNextServer(host, job, history, sentTo);
+    const { outcome, movedTo } = await tryCallServer(host, job, history, choice, {
+      takeNext: mayMove ? takeNext : undefined,
+    });
+    next = movedTo;
+    hasRetry = movedTo !== undefined || (hasRetry && outcome.type === 'unreached');
     if (outcome.type === 'stopped') return;
     ends.push(outcome.type);
     failedBy = server.id;
@@ -73,45 +89,23 @@
       host.registry.clearSuspicion(server.id);
       fallback = outcome.reply;
       failures += 1;
-      if (outcome.reply.status < FIRST_FAILURE_STATUS || failures >= CONFIRMED_FAILURES) break;
+      if (!isServerFailure(outcome.reply.status) || failures >= CONFIRMED_FAILURES) break;
     }
     if (!rule.isIdempotent) break;
   }
   if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
 
-async function tryServer(
+/** Finds a server that has not received the request, and spends the retry that sending it there costs. */
+function takeNextServer(
   host: GatewayHost,
   job: Job,
   history: CallHistory,
-  { server, isSuspected }: ChosenServer,
-  runs: number,
-): Promise<CallOutcome> {
-  const startedMs = host.now();
-  const call = callServer(host, job, server);
-  const isLast = isSuspected || runs + 1 >= job.rule.maxAttempts || !job.rule.isIdempotent;
-  const timer = isLast
-    ? undefined
-    : setTimeout(() => {
-        call.abandon('no answer in time');
-      }, job.rule.targetMs * RETRY_AFTER_TARGETS);
-  const outcome = await call.end;
-  clearTimeout(timer);
-  const tookMs = host.now() - startedMs;
-  const isFailure =
-    outcome.type !== 'stopped' &&
-    (outcome.type !== 'answered' || outcome.reply.status >= FIRST_FAILURE_STATUS);
-  history.recordCall(server.id, isFailure, tookMs);
-  host.log('call tried', {
-    id: job.head.id,
-    server: server.id,
-    isSuspected,
-    end: outcome.type,
-    detail: 'detail' in outcome ? outcome.detail : undefined,
-    status: outcome.type === 'answered' ? outcome.reply.status : undefined,
-    tookMs: Math.round(tookMs),
-  });
-  return outcome;
+  sentTo: ReadonlySet<string>,
+): ChosenServer | undefined {
+  const found = findCallServer(host, job, history, { except: sentTo });
+  if (found === undefined) return undefined;
+  return host.retryBudgets.trySpendRetry(job.profile.name) ? found : undefined;
 }
 
 function sendFinalResponse(
@@ -132,45 +126,3 @@
   host.log('call refused', { id: job.head.id, refusal, cause: ends.at(-1) ?? 'not-run' });
   refuseJob(job.response, refusal, host.protocol, { retryAfterMs });
 }
-
-interface ServerChoice {
-  /** Servers that the request may be sent to; undefined allows all. */
-  readonly only: ReadonlySet<string> | undefined;
-  /** The server that failed the request last; other servers are preferred. */
-  readonly failedBy: string | undefined;
-  /** Servers that the request was sent to, or would have been had they been reached. */
-  readonly triedIds: ReadonlySet<string>;
-  /** Whether a suspected server may be tried where there is no other. */
-  readonly mayTrySuspected: boolean;
-}
-
-interface ChosenServer {
-  readonly server: ListedServer;
-  readonly isSuspected: boolean;
-}
-
-function chooseServer(
-  host: GatewayHost,
-  job: Job,
-  history: CallHistory,
-  { only, failedBy, triedIds, mayTrySuspected }: ServerChoice,
-): ChosenServer | undefined {
-  const { registry } = host;
-  const { name } = job.profile;
-  const suspected = mayTrySuspected
-    ? registry.lastResortServers(name).filter(({ id }) => !triedIds.has(id))
-    : [];
-  const isSuspected = suspected.length > 0;
-  const allowed = (isSuspected ? suspected : registry.usableServers(name))
-    .filter(({ id }) => only?.has(id) ?? true)
-    .map((server) => ({
-      ...server,
-      running: registry.running(server.id),
-      ...history.statisticsOf(server.id),
-    }));
-  const others = allowed.filter(({ id }) => id !== failedBy);
-  const candidates = others.length > 0 ? others : allowed;
-  const chosen = chooseCallServer(candidates, host.failureDomain, job.rule.targetMs, host.random());
-  const server = registry.find(chosen?.id ?? '');
-  return server === undefined ? undefined : { server, isSuspected };
-}
