Obey what backend servers announce in their replies

A server that turns a request away may say for how long it wants none (503 with a number of seconds), and one that is leaving says so in all its replies.

Both are decoded in platform/ and kept in the registry, so that calls, streams, resumed and moved streams, repairs, placement, probes and waiting requests obey alike. A quiet time ends with a random part, so that VMs do not come back together; callers are told when the first server takes requests again, at once where all want quiet. Text that is no number of seconds, or negative, is logged and counts as no time; more than five minutes counts as five. A departure holds for the incarnation, also against a row that says ready; only a signed reply counts, for a call when it is whole. Other VMs are not told: each learns it from its first reply.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -6,6 +6,7 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import { openExchange } from './openExchange';
 import { readReplyBody } from './readReplyBody';
+import { recordReplyNotices } from './recordReplyNotices';
 
 /** A reply that carries the backend server's signature. */
 export interface ServerReply {
@@ -62,7 +63,7 @@
     { address: server.address, method: job.method, path: job.path, headers, body: job.body },
     {
       onReply: (reply) => {
-        void readOutcome(host, job, reply).then(resolveCall);
+        void readOutcome(host, job, server, reply).then(resolveCall);
       },
       onFailure: ({ isSent, detail }) => {
         resolveCall({ type: isSent ? 'unknown' : 'unreached', detail });
@@ -83,11 +84,13 @@
 async function readOutcome(
   host: GatewayHost,
   job: Job,
+  server: ListedServer,
   reply: IncomingMessage,
 ): Promise<CallOutcome> {
   const { protocol } = host;
   const status = reply.statusCode ?? 0;
   const head = protocol.readReply(status, reply.headers);
+  recordReplyNotices(host, server.id, head);
   if (head.isNotRun) {
     reply.destroy();
     return { type: 'not-run', detail: `status ${status}` };
@@ -99,6 +102,7 @@
   }
   const read = await readReplyBody(reply);
   if (read.type === 'broken') return { type: 'unknown', detail: read.detail };
+  if (head.isLeaving) host.registry.recordLeaving(server.id);
   const headers = protocol.replyHeaders(reply.headers);
   return { type: 'answered', reply: { status, headers, body: read.body } };
 }
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -125,8 +125,9 @@
     if (isOver() || isRepairing || model === undefined || entry === undefined) return;
     // The first engine rejects a path that still includes any failed or leaving engine.
     const replacedIds = new Set([...failedIds, ...findSuspects(new Set()), ...findLeaving()]);
-    // Orders go through the first engine. While it does not answer, the stream waits for it or moves.
-    if (replacedIds.has(entry.id)) return;
+    // Orders go through the first engine. While it does not answer, the stream waits for it or moves; while
+    // it wants no requests, no order is sent.
+    if (replacedIds.has(entry.id) || registry.quietMs(entry.id) > 0) return;
     const path = findPath(model, replacedIds);
     lastCause = cause;
     host.log('chain repair', {
--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -127,7 +127,8 @@
     failureDomain: server.failureDomain,
     kind: server.kind ?? '',
     layers: pending.get(server.id)?.layers ?? server.layers,
-    isAssignable: !pending.has(server.id) && !suspects.has(server.id),
+    isAssignable:
+      !pending.has(server.id) && !suspects.has(server.id) && registry.quietMs(server.id) === 0,
     loadShare: registry.loadShare(server.id, model),
   });
   const placeModel = (service: string, model: PipelineModel): void => {
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -1,5 +1,6 @@
 /** Ends a stream that got no complete answer. */
 
+import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { findStreamChain } from './findStreamChain';
 import { refuseJob } from './refuseJob';
@@ -39,6 +40,7 @@
   }
   const reason = end.runs > 0 ? 'unknown-outcome' : 'not-run';
   const baseMs = outcome === undefined ? chooseRetryDelay(host, job) : FULL_RETRY_MS;
+  const quietMs = computeServiceQuietTime(host.registry, job.profile.name);
   host.count('refusals', reason);
   host.log('stream given up', {
     id: job.head.id,
@@ -50,7 +52,7 @@
     maxAttempts: job.rule.maxAttempts,
   });
   refuseJob(response, reason, host.protocol, {
-    retryAfterMs: end.runs > 0 ? undefined : baseMs * (0.5 + host.random()),
+    retryAfterMs: end.runs > 0 ? undefined : Math.max(quietMs, baseMs * (0.5 + host.random())),
   });
 }
 
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -12,6 +12,7 @@
 import { openExchange } from './openExchange';
 import { planStreamMigration } from '../../gateway/planStreamMigration';
 import { readReplyBody } from './readReplyBody';
+import { recordReplyNotices } from './recordReplyNotices';
 import type { ReservedChain } from './reserveStreamChain';
 import { splitEvents } from '../../gateway/splitEvents';
 import type { StreamEvent } from '../../gateway/splitEvents';
@@ -156,6 +157,7 @@
   const receiveReply = (reply: IncomingMessage): void => {
     const status = reply.statusCode ?? 0;
     const head = protocol.readReply(status, reply.headers);
+    recordReplyNotices(host, entry.id, head);
     if (head.isNotRun) {
       reply.destroy();
       endAttempt({ type: 'not-run', fault: head.faultAddress, detail: `status ${status}` });
@@ -167,6 +169,7 @@
       endAttempt({ type: 'broken', detail: 'reply without own signature' });
       return;
     }
+    if (head.isLeaving) registry.recordLeaving(entry.id);
     if (status >= 200 && status < 300) {
       if (!job.response.headersSent) {
         const headers = Object.entries(protocol.replyHeaders(reply.headers));
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -9,6 +9,7 @@
 import type { ServerReply } from './callServer';
 import type { CallEnd } from '../../gateway/chooseCallRefusal';
 import { chooseCallRefusal } from '../../gateway/chooseCallRefusal';
+import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
 import type { CallHistory } from '../../gateway/createCallHistory';
 import { isServerFailure } from '../../gateway/isServerFailure';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -121,7 +122,8 @@
     return;
   }
   const refusal = chooseCallRefusal(ends);
-  const retryAfterMs = refusal === 'not-run' ? RETRY_AFTER_MS : undefined;
+  const quietMs = computeServiceQuietTime(host.registry, job.profile.name);
+  const retryAfterMs = refusal === 'not-run' ? Math.max(RETRY_AFTER_MS, quietMs) : undefined;
   host.count('refusals', refusal);
   host.log('call refused', { id: job.head.id, refusal, cause: ends.at(-1) ?? 'not-run' });
   refuseJob(job.response, refusal, host.protocol, { retryAfterMs });
--- a/src/adapters/gateway/waitForStreamChain.ts
+++ b/src/adapters/gateway/waitForStreamChain.ts
@@ -1,6 +1,7 @@
 /** Waits a bounded time for a chain of engines with capacity for a stream. */
 
 import { setTimeout as sleep } from 'node:timers/promises';
+import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
 import type { GatewayHost, Job } from '../../gateway/job';
 import type { AdmissionQueue } from './createAdmissionQueue';
 import { reserveStreamChain } from './reserveStreamChain';
@@ -53,7 +54,7 @@
       if (!hasNewReports && !job.isOver()) return chain;
       chain.reservation.release();
       mayProbe = false;
-    } else if (isLastSearch) {
+    } else if (isLastSearch || isQuietUntil(host, job, untilMs)) {
       return undefined;
     } else if (entries === undefined) {
       isLastSearch = !(await queue.wait(hasBegun ? -1 : job.priority, untilMs));
@@ -71,3 +72,9 @@
 function canReturn({ registry }: GatewayHost, id: string): boolean {
   return registry.find(id)?.isDraining === false;
 }
+
+/** Whether no server of the service wants requests before the given time. */
+function isQuietUntil({ registry, now }: GatewayHost, job: Job, untilMs: number): boolean {
+  const quietMs = computeServiceQuietTime(registry, job.profile.name);
+  return quietMs > 0 && now() + quietMs >= untilMs;
+}
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -45,6 +45,12 @@
   readonly faultAddress: string | undefined;
   /** No intermediary has encoded the body. */
   readonly isUnencoded: boolean;
+  /** The backend server is leaving and should get no new requests. */
+  readonly isLeaving: boolean;
+  /** Time for which a backend server that refuses wants no requests from this VM, milliseconds. */
+  readonly quietMs: number | undefined;
+  /** Text in place of a quiet time that is not a time. */
+  readonly malformedQuietTime: string | undefined;
 }
 
 /** A running request that waits for an engine of its chain. */
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -61,6 +61,7 @@
   const fetchReport = async (id: string): Promise<ReportResult> => {
     const server = registry.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
+    if (registry.quietMs(id) > 0) return { type: 'failed', detail: 'wants no requests' };
     const result = await protocol.fetchReport(server.address);
     if (result.type === 'report') {
       const { pace, queued, running, memoryShare } = result.report;
@@ -78,7 +79,8 @@
   const checkHealth = async (id: string): Promise<HealthResult | undefined> => {
     const server = registry.find(id);
     const healthPath = profileOf(server?.service ?? '')?.healthPath;
-    if (server === undefined || healthPath === undefined) return undefined;
+    if (server === undefined || healthPath === undefined || registry.quietMs(id) > 0)
+      return undefined;
     const result = await protocol.checkHealth(server.address, healthPath);
     if (result.type !== 'answered') {
       registry.suspect(id, result.type);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -9,22 +9,19 @@
 import type { GatewayWork, ServerLoad } from './gatewayWork';
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
+import { createEngineReports } from './createEngineReports';
+import type { EngineCondition } from './createEngineReports';
+import { createServerNotices } from './createServerNotices';
+import type { ServerNotices } from './createServerNotices';
 import { createSuspicions } from './createSuspicions';
 import type { ServerSuspicion, SuspicionReason } from './createSuspicions';
 import type { LogFields } from './job';
 
-export interface ServerReport {
-  /** Step time as a multiple of the nominal step time of the engine's kind. */
-  readonly pace: number;
-  /** Share of the request memory in use, 0 to 1. */
-  readonly memoryShare: number;
-}
-
 export interface Reservation {
   readonly release: () => void;
 }
 
-export interface ServerRegistry {
+export interface ServerRegistry extends Pick<ServerNotices, 'recordQuiet' | 'quietMs'> {
   /** Replaces the list of backend servers. */
   readonly list: (servers: readonly ListedServer[]) => void;
   readonly servers: (service: string) => readonly ListedServer[];
@@ -43,10 +40,12 @@
   readonly clearSuspicion: (id: string) => void;
   readonly isSuspected: (id: string) => boolean;
   readonly suspicions: () => readonly ServerSuspicion[];
+  /** Treats the server as draining, as its own reply says, until it is listed with another start. */
+  readonly recordLeaving: (id: string) => void;
   /** Sends a server no new requests for `forMs`, without suspecting it. */
   readonly backOff: (id: string, forMs: number) => void;
   /** Stores an engine's own report. */
-  readonly recordReport: (id: string, report: ServerReport) => void;
+  readonly recordReport: (id: string, report: EngineCondition) => void;
   /** Whether a recent report of the engine is known. */
   readonly hasRecentReport: (id: string) => boolean;
   /** Records an event of a stream whose chain starts at this engine. */
@@ -102,12 +101,6 @@
 /** Age at which another VM's work no longer counts; several heartbeats were missed by then. */
 const WORK_VALID_MS = 3_000;
 
-/** Age at which a reported pace no longer counts. */
-const PACE_VALID_MS = 4_000;
-
-/** Age at which reported memory no longer counts; requests end within about a second. */
-const MEMORY_VALID_MS = 800;
-
 /** Step time assumed for an engine of unknown kind, as a multiple of the reference kind's. */
 const UNKNOWN_STEP_FACTOR = 16;
 
@@ -121,8 +114,9 @@
   let listed = new Map<string, ListedServer>();
   let byAddress = new Map<string, ListedServer>();
   const suspicions = createSuspicions({ now, log, count });
+  const notices = createServerNotices({ now, log, count });
   const backOffUntilMs = new Map<string, number>();
-  const reports = new Map<string, ServerReport & { readonly atMs: number }>();
+  const reports = createEngineReports(now);
   const lastEventsMs = new Map<string, number>();
   const ownLoads = new Map<string, ServerLoad>();
   const peerWork = new Map<string, { readonly work: GatewayWork; readonly atMs: number }>();
@@ -156,17 +150,10 @@
     if (next.running <= 0 && next.reserved <= 0) ownLoads.delete(id);
     else ownLoads.set(id, next);
   };
-  const isInBackOff = (id: string): boolean => (backOffUntilMs.get(id) ?? 0) > now();
+  const isInBackOff = (id: string): boolean =>
+    (backOffUntilMs.get(id) ?? 0) > now() || notices.quietMs(id) > 0;
   const isUsable = ({ id, isDraining }: ListedServer): boolean =>
     !isDraining && !suspicions.has(id) && !isInBackOff(id);
-  const paceOf = (id: string): number => {
-    const known = reports.get(id);
-    return known !== undefined && now() - known.atMs < PACE_VALID_MS ? known.pace : 1;
-  };
-  const memoryShareOf = (id: string): number => {
-    const known = reports.get(id);
-    return known !== undefined && now() - known.atMs < MEMORY_VALID_MS ? known.memoryShare : 0;
-  };
   const toChainEngine = (server: ListedServer, model: PipelineModel): ChainEngine | undefined => {
     const { id, address, failureDomain, layers, slots } = server;
     if (layers === undefined) return undefined;
@@ -175,7 +162,7 @@
     const requestMemoryMb = (kind?.memoryMb ?? 0) - heldLayers * model.layerMb;
     const capacity = Math.max(1, requestMemoryMb / model.tokenLayerMb);
     const { reserved, running } = totalLoad(id);
-    const stepFactor = (kind?.stepFactor ?? UNKNOWN_STEP_FACTOR) * paceOf(id);
+    const stepFactor = (kind?.stepFactor ?? UNKNOWN_STEP_FACTOR) * reports.pace(id);
     return {
       id,
       address,
@@ -184,7 +171,7 @@
       layerStepMs: (stepFactor * model.stepMs) / model.layers,
       capacity,
       // The load of VMs that have failed appears only in the engine's own report.
-      reserved: Math.max(reserved, memoryShareOf(id) * capacity),
+      reserved: Math.max(reserved, reports.memoryShare(id) * capacity),
       entered: running,
       slots,
       firstEventDelayMs: firstEventDelays.predictMs(id),
@@ -201,20 +188,31 @@
       .filter((server) => !server.isDraining && isLeaving(server, servers.get(server.id)))
       .map(({ id }) => id);
 
+  const list = (servers: readonly ListedServer[]): void => {
+    const next = new Map(servers.map((server) => [server.id, notices.applyTo(server)]));
+    const leaving = listLeaving(next);
+    for (const server of servers) logLayerChange(server);
+    suspicions.retain(next);
+    for (const id of backOffUntilMs.keys()) if (!next.has(id)) backOffUntilMs.delete(id);
+    reports.retain(next);
+    for (const id of lastEventsMs.keys()) if (!next.has(id)) lastEventsMs.delete(id);
+    listed = next;
+    byAddress = new Map([...next.values()].map((server) => [server.address, server]));
+    for (const id of leaving) for (const listener of leavingListeners) listener(id);
+    notifyChange();
+  };
+
   return {
-    list: (servers) => {
-      const next = new Map(servers.map((server) => [server.id, server]));
-      const leaving = listLeaving(next);
-      for (const server of servers) logLayerChange(server);
-      suspicions.retain(next);
-      for (const id of backOffUntilMs.keys()) if (!next.has(id)) backOffUntilMs.delete(id);
-      for (const id of reports.keys()) if (!next.has(id)) reports.delete(id);
-      for (const id of lastEventsMs.keys()) if (!next.has(id)) lastEventsMs.delete(id);
-      listed = next;
-      byAddress = new Map(servers.map((server) => [server.address, server]));
-      for (const id of leaving) for (const listener of leavingListeners) listener(id);
-      notifyChange();
+    list,
+    recordLeaving: (id) => {
+      const server = listed.get(id);
+      if (server !== undefined && notices.recordLeaving(server)) list([...listed.values()]);
+    },
+    recordQuiet: (id, forMs) => {
+      notices.recordQuiet(id, forMs);
+      callLater(notifyChange, forMs);
     },
+    quietMs: notices.quietMs,
     servers: (service) => [...listed.values()].filter((server) => server.service === service),
     find: (id) => listed.get(id),
     findByAddress: (address) => byAddress.get(address),
@@ -246,13 +244,8 @@
       backOffUntilMs.set(id, now() + forMs);
       callLater(notifyChange, forMs);
     },
-    recordReport: (id, { pace, memoryShare }) => {
-      reports.set(id, { pace, memoryShare, atMs: now() });
-    },
-    hasRecentReport: (id) => {
-      const known = reports.get(id);
-      return known !== undefined && now() - known.atMs < PACE_VALID_MS;
-    },
+    recordReport: reports.record,
+    hasRecentReport: reports.isRecent,
     recordEvent: (id) => {
       lastEventsMs.set(id, now());
     },
