Treat a position in the store as an era and a version together

Cause: the store may come back from a copy some seconds old. Versions go back and are given out again, and the header Store-Era in its answers rises by one. The code compared bare versions: a copy of a table went on under a version that meant something else, a row with a lower version was ignored for ever, and a conditional write could succeed on a number that was given out twice.

Now a position is an era and a version (comparePositions), and the client decodes the era. A fence around all calls, relayed ones too, ends the waits of every table when any answer states a later era; followers then read whole after a random delay of up to 300 ms. It drops late answers of an older era, treats a write acknowledged in one as unknown, and never sends a condition on one. Relays hand on their era and refuse those who are ahead of them. The executor gives its claim up at the change, and holds the row again once a read in the new era names it, else claims it on a position of that era. It also waits for the first read of the table before it claims, as a condition needs an era. A catalog older than the one in force was ignored before; it is now logged once an era.

--- a/src/adapters/gateway/createRelayedStore.test.ts
+++ b/src/adapters/gateway/createRelayedStore.test.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { ClockReading } from '../../catalog/confirmation';
+import type { Position } from '../../contracts/position';
 import type { StoreRow, WatchedStore } from '../../contracts/watchedStore';
 import type { TableCopy } from '../../peers/tableCopy';
 import { createTableCopy } from '../../peers/tableCopy';
@@ -10,7 +11,13 @@
 import { createRelayedStore } from './createRelayedStore';
 import { createTableRelay } from './createTableRelay';
 
-const createRow = (key: string, version: number): StoreRow => ({ key, value: key, version });
+const at = (version: number, era = 0): Position => ({ era, version });
+
+const createRow = (key: string, version: number, era = 0): StoreRow => ({
+  key,
+  value: key,
+  position: at(version, era),
+});
 
 let server: Server | undefined;
 
@@ -28,12 +35,12 @@
   const storeWatches: number[] = [];
   const log: string[] = [];
   const store: WatchedStore = {
-    read: () => Promise.resolve({ type: 'rows', rows: [], version: 0 }),
-    watch: (_table, sinceVersion) => {
-      storeWatches.push(sinceVersion);
-      return Promise.resolve({ type: 'rows', rows: [], version: sinceVersion });
+    read: () => Promise.resolve({ type: 'rows', rows: [], position: at(0) }),
+    watch: (_table, since) => {
+      storeWatches.push(since.version);
+      return Promise.resolve({ type: 'rows', rows: [], position: since });
     },
-    write: () => Promise.resolve({ type: 'conflict' }),
+    write: () => Promise.resolve({ type: 'conflict', era: 0 }),
   };
   const relays = [createPeerRecord('relay', { tableAddress: `127.0.0.1:${port}` })];
   const follow = (vm: string, from = relays): WatchedStore =>
@@ -61,13 +68,13 @@
 describe('createRelayedStore', () => {
   it('receives changes from the relay, with the age of its copy', async () => {
     const { publish, follow, asked: storeWatches, advance } = await startRelay();
-    publish(createTableCopy([createRow('a', 7)], 7));
+    publish(createTableCopy([createRow('a', 7)], at(7)));
     advance(300);
-    const read = await follow('leaf').watch('t', 7, 20);
+    const read = await follow('leaf').watch('t', at(7), 20);
     expect(read).toEqual({
       type: 'rows',
       rows: [],
-      version: 7,
+      position: at(7),
       relayed: { heldMs: 0, agoMs: 300 },
     });
     expect(storeWatches).toEqual([]);
@@ -75,52 +82,75 @@
 
   it('receives an answer as soon as the relay has a change', async () => {
     const { publish, follow, http } = await startRelay();
-    publish(createTableCopy([], 7));
-    const waiting = follow('leaf').watch('t', 7, 60_000);
+    publish(createTableCopy([], at(7)));
+    const waiting = follow('leaf').watch('t', at(7), 60_000);
     await once(http, 'request');
-    publish({ ...createTableCopy([createRow('b', 9)], 9), knownSince: 7 });
-    expect(await waiting).toMatchObject({ rows: [createRow('b', 9)], version: 9 });
+    publish({ ...createTableCopy([createRow('b', 9)], at(9)), knownSince: at(7) });
+    expect(await waiting).toMatchObject({ rows: [createRow('b', 9)], position: at(9) });
   });
 
   it('reads the table again if the relay lacks the history of removed rows', async () => {
     const { publish, follow } = await startRelay();
-    publish(createTableCopy([], 7));
-    expect(await follow('leaf').watch('t', 3, 20)).toEqual({ type: 'history-gone' });
+    publish(createTableCopy([], at(7)));
+    expect(await follow('leaf').watch('t', at(3), 20)).toEqual({ type: 'history-gone', era: 0 });
   });
 
   it('queries the store if the relay has had no answer from it for too long', async () => {
     const { publish, follow, asked: storeWatches, log, advance } = await startRelay();
-    publish(createTableCopy([], 7));
+    publish(createTableCopy([], at(7)));
     advance(2_700);
-    await follow('leaf').watch('t', 7, 20);
+    await follow('leaf').watch('t', at(7), 20);
     expect(storeWatches).toEqual([7]);
     expect(log).toContain('relay does not answer');
   });
 
   it('queries the store if the relay itself follows another VM', async () => {
     const { publish, follow, asked: storeWatches } = await startRelay();
-    publish(createTableCopy([], 7), false);
-    await follow('leaf').watch('t', 7, 20);
+    publish(createTableCopy([], at(7)), false);
+    await follow('leaf').watch('t', at(7), 20);
+    expect(storeWatches).toEqual([7]);
+  });
+
+  it('reads the table again if the relay has a later era, and learns it', async () => {
+    const { publish, follow, asked: storeWatches } = await startRelay();
+    publish(createTableCopy([createRow('a', 7, 1)], at(7, 1)));
+    expect(await follow('leaf').watch('t', at(7), 20)).toEqual({ type: 'history-gone', era: 1 });
+    expect(storeWatches).toEqual([]);
+  });
+
+  it('queries the store if the relay has only an earlier era', async () => {
+    const { publish, follow, asked: storeWatches } = await startRelay();
+    publish(createTableCopy([createRow('a', 9)], at(9)));
+    await follow('leaf').watch('t', at(7, 1), 20);
     expect(storeWatches).toEqual([7]);
   });
 
+  it('ends a wait at the relay when the relay reads the table in a later era', async () => {
+    const { publish, follow, http } = await startRelay();
+    publish(createTableCopy([], at(7)));
+    const waiting = follow('leaf').watch('t', at(7), 60_000);
+    await once(http, 'request');
+    publish(createTableCopy([createRow('b', 7, 1)], at(7, 1)));
+    expect(await waiting).toEqual({ type: 'history-gone', era: 1 });
+  });
+
   it('backs off a relay that refused, and tries it again later', async () => {
     const { follow, asked: storeWatches, advance, publish } = await startRelay();
     const leaf = follow('leaf');
-    await leaf.watch('t', 7, 20);
-    publish(createTableCopy([], 7));
-    await leaf.watch('t', 7, 20);
+    await leaf.watch('t', at(7), 20);
+    publish(createTableCopy([], at(7)));
+    await leaf.watch('t', at(7), 20);
     expect(storeWatches).toEqual([7, 7]);
     advance(3_000);
-    publish(createTableCopy([], 7));
-    await leaf.watch('t', 7, 20);
+    publish(createTableCopy([], at(7)));
+    await leaf.watch('t', at(7), 20);
     expect(storeWatches).toEqual([7, 7]);
   });
 
   it('follows the store itself if it is a relay or if there are no relays', async () => {
     const { follow, asked: storeWatches } = await startRelay();
-    await follow('relay').watch('t', 7, 20);
-    await follow('leaf', []).watch('t', 8, 20);
+    await follow('relay').watch('t', at(7), 20);
+    await follow('leaf', []).watch('t', at(8), 20);
     expect(storeWatches).toEqual([7, 8]);
   });
 });
--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -6,6 +6,7 @@
 
 import { Agent } from 'node:http';
 import * as z from 'zod';
+import type { Position } from '../../contracts/position';
 import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
 import type { LogFields } from '../../gateway/job';
 import type { PeerRecord } from '../../peers/peer';
@@ -30,9 +31,15 @@
 
 const HISTORY_GONE = 410;
 
+const positionSchema = z.object({ era: z.number(), version: z.number() });
+
+const goneSchema = z.object({ era: z.number() });
+
 const answerSchema = z.object({
-  rows: z.array(z.object({ key: z.string(), value: z.string().optional(), version: z.number() })),
-  version: z.number(),
+  rows: z.array(
+    z.object({ key: z.string(), value: z.string().optional(), position: positionSchema }),
+  ),
+  position: positionSchema,
   heldMs: z.number(),
   agoMs: z.number(),
 });
@@ -55,12 +62,13 @@
   const queryRelay = async (
     relay: PeerRecord,
     table: string,
-    sinceVersion: number,
+    since: Position,
     waitMs: number,
   ): Promise<TableRead> => {
     const query = new URLSearchParams({
       table,
-      since: String(sinceVersion),
+      era: String(since.era),
+      since: String(since.version),
       wait: String(waitMs),
     });
     const result = await exchangeJson({
@@ -71,24 +79,27 @@
       agent,
     });
     if (result.type !== 'answered') return { type: 'unavailable', detail: result.type };
-    if (result.status === HISTORY_GONE) return { type: 'history-gone' };
+    const gone = goneSchema.safeParse(result.body);
+    if (result.status === HISTORY_GONE && gone.success) {
+      return { type: 'history-gone', era: gone.data.era };
+    }
     const answer = answerSchema.safeParse(result.body);
     if (!answer.success) return { type: 'unavailable', detail: `status ${result.status}` };
-    const { version, heldMs, agoMs } = answer.data;
+    const { position, heldMs, agoMs } = answer.data;
     const rows = answer.data.rows.map((row) => ({ ...row, value: row.value }));
-    return { type: 'rows', rows, version, relayed: { heldMs, agoMs } };
+    return { type: 'rows', rows, position, relayed: { heldMs, agoMs } };
   };
   return {
     ...store,
-    watch: async (table, sinceVersion, waitMs) => {
+    watch: async (table, since, waitMs) => {
       const relay = chooseRelay();
       recordRelay(relay);
-      if (relay === undefined) return store.watch(table, sinceVersion, waitMs);
-      const result = await queryRelay(relay, table, sinceVersion, waitMs);
+      if (relay === undefined) return store.watch(table, since, waitMs);
+      const result = await queryRelay(relay, table, since, waitMs);
       if (result.type !== 'unavailable') return result;
       backOffUntilMs.set(relay.vm, now() + RELAY_BACKOFF_MS);
       log('relay does not answer', { relay: relay.vm, table, detail: result.detail });
-      return store.watch(table, sinceVersion, waitMs);
+      return store.watch(table, since, waitMs);
     },
   };
 }
--- a/src/adapters/gateway/createTableRelay.ts
+++ b/src/adapters/gateway/createTableRelay.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClockReading } from '../../catalog/confirmation';
 import { elapsedMs } from '../../catalog/confirmation';
+import type { Position } from '../../contracts/position';
 import type { TableCopy } from '../../peers/tableCopy';
 import { listTableChanges } from '../../peers/tableCopy';
 
@@ -34,7 +35,7 @@
 
 interface HeldRequest {
   readonly table: string;
-  readonly sinceVersion: number;
+  readonly since: Position;
   readonly askedMs: number;
   readonly response: ServerResponse;
 }
@@ -45,28 +46,30 @@
   const holdTimers = new Map<HeldRequest, NodeJS.Timeout>();
 
   const respond = (request: HeldRequest): void => {
-    const { table, sinceVersion, askedMs, response } = request;
+    const { table, since, askedMs, response } = request;
     clearTimeout(holdTimers.get(request));
     holdTimers.delete(request);
     const published = tables.get(table);
     const agoMs = computeAge(published);
-    if (published?.isDirect !== true || agoMs > published.maxAgeMs) {
+    const isBehind = since.era > (published?.copy.position.era ?? 0);
+    if (published?.isDirect !== true || isBehind || agoMs > published.maxAgeMs) {
       sendJson(response, UNAVAILABLE);
       return;
     }
-    const rows = listTableChanges(published.copy, sinceVersion);
+    const rows = listTableChanges(published.copy, since);
+    const { position } = published.copy;
     if (rows === undefined) {
-      sendJson(response, HISTORY_GONE);
+      sendJson(response, HISTORY_GONE, { era: position.era });
       return;
     }
     const heldMs = clock().monotonicMs - askedMs;
-    sendJson(response, 200, { rows, version: published.copy.version, heldMs, agoMs });
+    sendJson(response, 200, { rows, position, heldMs, agoMs });
   };
   const computeAge = (published: PublishedTable | undefined): number =>
     published === undefined ? Infinity : elapsedMs(published.known, clock());
-  const hasChanges = ({ table, sinceVersion }: HeldRequest): boolean => {
+  const hasChanges = ({ table, since }: HeldRequest): boolean => {
     const copy = tables.get(table)?.copy;
-    return copy === undefined || listTableChanges(copy, sinceVersion)?.length !== 0;
+    return copy === undefined || listTableChanges(copy, since)?.length !== 0;
   };
   const hold = (request: HeldRequest, waitMs: number): void => {
     const published = tables.get(request.table);
@@ -92,13 +95,14 @@
     handle: (request, response) => {
       const query = new URL(request.url ?? '/', 'http://vm').searchParams;
       const table = query.get('table') ?? '';
-      const sinceVersion = Number(query.get('since') ?? Number.NaN);
-      const waitMs = Number(query.get('wait') ?? Number.NaN);
-      if (!Number.isFinite(sinceVersion) || !Number.isFinite(waitMs)) {
-        sendJson(response, 400, { error: 'since and wait must be numbers' });
+      const readNumber = (name: string): number => Number(query.get(name) ?? Number.NaN);
+      const since = { era: readNumber('era'), version: readNumber('since') };
+      const waitMs = readNumber('wait');
+      if (![since.era, since.version, waitMs].every(Number.isFinite)) {
+        sendJson(response, 400, { error: 'era, since and wait must be numbers' });
         return;
       }
-      const heldRequest = { table, sinceVersion, askedMs: clock().monotonicMs, response };
+      const heldRequest = { table, since, askedMs: clock().monotonicMs, response };
       if (tables.get(table)?.isDirect !== true || hasChanges(heldRequest)) respond(heldRequest);
       else hold(heldRequest, waitMs);
     },
--- a/src/adapters/gateway/exchangeJson.ts
+++ b/src/adapters/gateway/exchangeJson.ts
@@ -1,6 +1,7 @@
 /** Sends one small JSON request and reads the reply, by default on a new connection. */
 
 import { Agent, request as sendRequest } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
 
 export interface JsonRequest {
   readonly address: string;
@@ -13,7 +14,12 @@
 }
 
 export type JsonResult =
-  | { readonly type: 'answered'; readonly status: number; readonly body: unknown }
+  | {
+      readonly type: 'answered';
+      readonly status: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly body: unknown;
+    }
   /** The connection was refused or reset. */
   | { readonly type: 'refused' }
   /** No answer before the timeout. */
@@ -56,7 +62,8 @@
         if (!reply.complete) resolve({ type: 'refused' });
         else {
           const parsed = parseJson(Buffer.concat(chunks).toString('utf8'));
-          resolve({ type: 'answered', status: reply.statusCode ?? 0, body: parsed });
+          const { statusCode = 0, headers } = reply;
+          resolve({ type: 'answered', status: statusCode, headers, body: parsed });
         }
       });
     });
--- a/src/adapters/gateway/followCatalog.test.ts
+++ b/src/adapters/gateway/followCatalog.test.ts
@@ -1,23 +1,34 @@
 import type { Catalog } from '../../catalog/catalog';
 import type { ClockReading } from '../../catalog/confirmation';
+import type { Position } from '../../contracts/position';
 import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
 import { followCatalog } from './followCatalog';
 
 /** Creates a store whose long polls the test ends. */
 function createHeldStore() {
   const waits: { readonly waitMs: number; readonly end: (read: TableRead) => void }[] = [];
+  let table: TableRead = { type: 'rows', rows: [createRow(1)], position: at(1) };
+  const setTable = (next: TableRead): void => {
+    table = next;
+  };
   const store: WatchedStore = {
-    read: () => Promise.resolve({ type: 'rows', rows: [createRow(1)], version: 1 }),
+    read: () => Promise.resolve(table),
     watch: (_table, _version, waitMs) =>
       new Promise((resolve) => {
         waits.push({ waitMs, end: resolve });
       }),
     write: () => Promise.resolve({ type: 'unavailable', detail: 'not used' }),
   };
-  return { store, waits };
+  return { store, waits, setTable };
 }
 
-const createRow = (version: number) => ({ key: 'config', value: String(version), version });
+const at = (version: number, era = 0): Position => ({ era, version });
+
+const createRow = (version: number, position = at(version)) => ({
+  key: 'config',
+  value: String(version),
+  position,
+});
 
 const createCatalog = (version: number): Catalog => ({
   version,
@@ -40,7 +51,8 @@
 });
 
 async function follow() {
-  const { store, waits } = createHeldStore();
+  const { store, waits, setTable } = createHeldStore();
+  const events: string[] = [];
   let reading: ClockReading = { monotonicMs: 0, wallMs: 1_000_000 };
   const catalog = followCatalog({
     store,
@@ -50,6 +62,7 @@
     health: {
       succeeded: () => undefined,
       failed: () => undefined,
+      setBack: () => undefined,
       isReachable: () => true,
       wasUnreachableRecently: () => false,
     },
@@ -57,12 +70,14 @@
     limitMs: () => 4_250,
     clock: () => reading,
     random: () => 0,
-    log: () => undefined,
+    log: (message, fields) => events.push(`${message} ${JSON.stringify(fields)}`),
   });
   await advanceTimers();
   return {
     catalog,
     waits,
+    setTable,
+    events,
     advance: (monotonicMs: number, wallMs = monotonicMs) => {
       reading = {
         monotonicMs: reading.monotonicMs + monotonicMs,
@@ -77,15 +92,35 @@
     const { waits, advance } = await follow();
     expect(waits[0]?.waitMs).toBe(2_500);
     advance(2_400);
-    waits[0]?.end({ type: 'rows', rows: [createRow(2)], version: 2 });
+    waits[0]?.end({ type: 'rows', rows: [createRow(2)], position: at(2) });
     await advanceTimers();
     expect(waits[1]?.waitMs).toBe(1_350);
   });
 
+  it('keeps the newest catalog, and logs once that a later era has an older one', async () => {
+    const { catalog, waits, setTable, events } = await follow();
+    waits[0]?.end({ type: 'rows', rows: [createRow(4)], position: at(4) });
+    await advanceTimers();
+    setTable({ type: 'rows', rows: [createRow(2, at(2, 1))], position: at(2, 1) });
+    waits[1]?.end({ type: 'history-gone', era: 1 });
+    await advanceTimers();
+    waits[2]?.end({ type: 'rows', rows: [createRow(3, at(3, 1))], position: at(3, 1) });
+    await advanceTimers();
+    expect(catalog.current()?.version).toBe(4);
+    expect(events.filter((event) => event.startsWith('catalog older'))).toEqual([
+      'catalog older than the one in force {"read":2,"inForce":4,"era":1}',
+    ]);
+    waits[3]?.end({ type: 'rows', rows: [createRow(4, at(4, 1))], position: at(4, 1) });
+    await advanceTimers();
+    waits[4]?.end({ type: 'rows', rows: [createRow(5, at(5, 1))], position: at(5, 1) });
+    await advanceTimers();
+    expect(catalog.current()?.version).toBe(5);
+  });
+
   it('does not extend a confirmation from before a suspension across it', async () => {
     const { catalog, waits, advance } = await follow();
     advance(500, 7_500);
-    waits[0]?.end({ type: 'rows', rows: [], version: 1 });
+    waits[0]?.end({ type: 'rows', rows: [], position: at(1) });
     await advanceTimers();
     expect(catalog.isConfirmed()).toBe(false);
   });
--- a/src/adapters/gateway/followCatalog.ts
+++ b/src/adapters/gateway/followCatalog.ts
@@ -37,6 +37,7 @@
   const { decodeCatalog, onCatalog, health, limitMs, log, clock } = options;
   let catalog: Catalog | undefined;
   let confirmedAt: ClockReading | undefined;
+  let outdatedEra: number | undefined;
 
   const decode = (rows: ReadonlyMap<string, StoreRow>): Catalog | undefined => {
     try {
@@ -57,9 +58,18 @@
         longestMs: options.waitMs(),
       }),
     batchDelayMs: () => BATCH_DELAY_MS,
-    onRows: (rows) => {
+    onRows: (rows, { era }) => {
       const next = decode(rows);
-      if (next === undefined || (catalog !== undefined && next.version < catalog.version)) return;
+      if (next === undefined) return;
+      if (catalog !== undefined && next.version < catalog.version) {
+        // Credentials that were revoked must not come back with an older copy of the store.
+        if (outdatedEra !== era) {
+          const versions = { read: next.version, inForce: catalog.version };
+          log('catalog older than the one in force', { ...versions, era });
+        }
+        outdatedEra = era;
+        return;
+      }
       catalog = next;
       onCatalog(next);
       log('catalog in force', { version: next.version, hosts: next.routes.size });
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -2,6 +2,7 @@
 
 import type { ClockReading } from '../../catalog/confirmation';
 import { computeConfirmedTime, computeRelayedConfirmedTime } from '../../catalog/confirmation';
+import type { Position } from '../../contracts/position';
 import type { StoreRow, TableRead, WatchedStore } from '../../contracts/watchedStore';
 import type { TableCopy } from '../../peers/tableCopy';
 import { applyTableChanges, createTableCopy } from '../../peers/tableCopy';
@@ -13,8 +14,8 @@
   readonly waitMs: () => number;
   /** Delay after a change, which batches changes in quick succession, milliseconds. */
   readonly batchDelayMs: () => number;
-  /** Called with all rows after every change. */
-  readonly onRows: (rows: ReadonlyMap<string, StoreRow>) => void;
+  /** Called with all rows after every change, and the position of this copy. */
+  readonly onRows: (rows: ReadonlyMap<string, StoreRow>, position: Position) => void;
   /** Called after each answer with the time at which the rows were last known to be current. */
   readonly onAnswer: (known: ClockReading) => void;
   readonly onFailure: (detail: string) => void;
@@ -29,6 +30,9 @@
 const FIRST_BACKOFF_MS = 60;
 const MAX_BACKOFF_MS = 600;
 
+/** Longest delay before a table is read again in a new era, which spreads the reads of the VMs. */
+const MAX_REREAD_DELAY_MS = 300;
+
 type RowsRead = Extract<TableRead, { readonly type: 'rows' }>;
 
 /** Starts to follow the table; there is no way to stop. */
@@ -41,9 +45,9 @@
     const isFirst = copy === undefined;
     copy =
       copy === undefined
-        ? createTableCopy(result.rows, result.version)
-        : applyTableChanges(copy, result.rows, result.version);
-    if (isFirst || result.rows.length > 0) options.onRows(copy.rows);
+        ? createTableCopy(result.rows, result.position)
+        : applyTableChanges(copy, result.rows, result.position);
+    if (isFirst || result.rows.length > 0) options.onRows(copy.rows, copy.position);
   };
   const fetchChanges = async (): Promise<number> => {
     const sent = clock();
@@ -52,7 +56,7 @@
     const result =
       copy === undefined
         ? await store.read(table)
-        : await store.watch(table, copy.version, wantedMs);
+        : await store.watch(table, copy.position, wantedMs);
     if (result.type === 'unavailable') {
       options.onFailure(result.detail);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
@@ -60,8 +64,9 @@
     }
     backoffMs = FIRST_BACKOFF_MS;
     if (result.type === 'history-gone') {
+      const isNewEra = copy?.position.era !== result.era;
       copy = undefined;
-      return 0;
+      return isNewEra ? options.random() * MAX_REREAD_DELAY_MS : 0;
     }
     const known = computeKnownTime(result, sent, isWait ? wantedMs : 0);
     options.onAnswer(known);
--- a/src/gateway/createStoreHealth.ts
+++ b/src/gateway/createStoreHealth.ts
@@ -11,9 +11,11 @@
 export interface StoreHealth {
   readonly succeeded: () => void;
   readonly failed: (detail: string) => void;
+  /** Called when the store came back from an older copy; its entries may lag as after an outage. */
+  readonly setBack: () => void;
   /** Whether the store counts as reachable. */
   readonly isReachable: () => boolean;
-  /** Whether the store is unreachable or was so until shortly before. */
+  /** Whether the store is unreachable, or was so or was set back shortly before. */
   readonly wasUnreachableRecently: () => boolean;
 }
 
@@ -39,6 +41,9 @@
       isUnreachable = true;
       log('store does not answer', { detail, sinceMs: Math.round(now() - lastSuccessMs) });
     },
+    setBack: () => {
+      unreachableUntilMs = now();
+    },
     isReachable: () => !isUnreachable,
     wasUnreachableRecently: () =>
       isUnreachable || now() - unreachableUntilMs < RECENTLY_UNREACHABLE_MS,
--- a/src/node/createFollowContext.ts
+++ b/src/node/createFollowContext.ts
@@ -1,5 +1,7 @@
 /** Options that all followers of the store's tables on this VM share, and the relay to other VMs. */
 
+import { createFencedStore } from '../adapters/gateway/createFencedStore';
+import type { FencedStore, FencedStoreOptions } from '../adapters/gateway/createFencedStore';
 import { createRelayedStore } from '../adapters/gateway/createRelayedStore';
 import type { RelayedStoreOptions } from '../adapters/gateway/createRelayedStore';
 import { createTableRelay } from '../adapters/gateway/createTableRelay';
@@ -16,9 +18,10 @@
   /** @param waitMs longest wait for a change, milliseconds */
   readonly optionsFor: (table: string, waitMs: () => number) => TableFollowOptions;
   readonly relay: TableRelay;
+  readonly store: FencedStore;
 }
 
-export interface FollowContextOptions extends RelayedStoreOptions {
+export interface FollowContextOptions extends RelayedStoreOptions, FencedStoreOptions {
   readonly timings: () => LongPollTimings;
   readonly health: StoreHealth;
   readonly clock: () => ClockReading;
@@ -31,7 +34,9 @@
 export function createFollowContext(options: FollowContextOptions): FollowContext {
   const { timings, health, log, now, clock } = options;
   const relay = createTableRelay(clock);
-  const store = createRelayedStore(options);
+  // Fenced last, so that the answers of relays are checked too.
+  const store = createFencedStore({ ...options, store: createRelayedStore(options) });
+  store.onEra(health.setBack);
   return {
     optionsFor: (table, waitMs) => ({
       table,
@@ -53,5 +58,6 @@
       },
     }),
     relay,
+    store,
   };
 }
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -131,6 +131,7 @@
     now,
     clock: readClocks,
     log: writeLog,
+    count,
   });
   const catalogFollower = followCatalog({
     ...followContext.optionsFor(platform.catalogTable, () => timings().catalogWaitMs),
@@ -207,12 +208,13 @@
     log: writeLog,
   });
   const executorClaim = createExecutorClaim({
-    store,
+    store: followContext.store,
     table: platform.ownTable,
     key: EXECUTOR_KEY,
     self,
     now,
     log: writeLog,
+    count,
   });
 
   followServers({
--- a/src/placing/electExecutor.test.ts
+++ b/src/placing/electExecutor.test.ts
@@ -1,7 +1,10 @@
 import { electExecutor } from './electExecutor';
 
 const vm = (name: string, incarnation = '1') => ({ vm: name, incarnation });
-const row = (name: string, incarnation = '1') => ({ ...vm(name, incarnation), version: 7 });
+const row = (name: string, incarnation = '1') => ({
+  ...vm(name, incarnation),
+  position: { era: 0, version: 7 },
+});
 
 describe('electExecutor', () => {
   it('lets the first live VM take a row that no VM holds', () => {
--- a/src/placing/electExecutor.ts
+++ b/src/placing/electExecutor.ts
@@ -1,13 +1,16 @@
 /**
  * Decides which VM is the executor, the one that places layers. A row of the store names the executor and
- * changes by conditional writes on its version. Two executors at once do no harm, since each order states
- * the number of orders that the engine must have accepted before.
+ * changes by conditional writes on its position. Two executors at once do no harm, since each order states
+ * the number of orders that the engine must have accepted before. This must stay so: a store that came back
+ * from an older copy may name an earlier holder while the later one still has orders under way.
  */
 
+import type { Position } from '../contracts/position';
+
 export interface ExecutorRow {
   readonly vm: string;
   readonly incarnation: string;
-  readonly version: number;
+  readonly position: Position;
 }
 
 export interface ExecutorView {
