Write a VM's record again at once when a later era lacks it

Cause: the store may lose the record when it comes back from an older copy. The periodic retry would notice within two seconds of the next read; until then other VMs do not know this one. The follower now registers again as soon as a read in a later era does not show this start of the VM, unless the VM is leaving.

--- a/src/node/followMembership.ts
+++ b/src/node/followMembership.ts
@@ -38,16 +38,21 @@
   const { store, table, self, peers, claim, health, log } = options;
   const ownKey = VM_KEY_PREFIX + self.vm;
   let isRegistered = false;
+  let isLeaving = false;
+  /** Era in which the records were last read. */
+  let era = Infinity;
 
   followTable({
     ...options,
-    onRows: (rows) => {
+    onRows: (rows, position) => {
       const records = [...rows.values()].flatMap((row) =>
         row.key.startsWith(VM_KEY_PREFIX) ? (parsePeerRecord(row.value) ?? []) : [],
       );
       isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
       peers.setRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
-      claim.applyRow(rows.get(options.executorKey));
+      claim.applyRow(rows.get(options.executorKey), position);
+      if (position.era > era && !isRegistered && !isLeaving) void register();
+      era = position.era;
     },
     onAnswer: health.succeeded,
     onFailure: health.failed,
@@ -61,7 +66,10 @@
   return {
     isRegistered: () => isRegistered,
     register,
-    unregister: () => store.write(table, [{ key: ownKey, value: undefined }]),
+    unregister: () => {
+      isLeaving = true;
+      return store.write(table, [{ key: ownKey, value: undefined }]);
+    },
     removeDeparted: async () => {
       for (const { vm } of peers.departed()) {
         const result = await store.write(table, [{ key: VM_KEY_PREFIX + vm, value: undefined }]);
