Keep what is known of servers when the store lists them as they were

Cause: after the store came back from an older copy, the list may lack a running server, name an earlier start, or show one as ready that drains or has left. All of this was taken as news.

--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -1,11 +1,13 @@
 /**
- * Follows the list of backend servers. Entries that vanish shortly after the store was unreachable are kept
- * for a short time, within which running servers list themselves again.
+ * Follows the list of backend servers. Entries that vanish shortly after the store was unreachable or came
+ * back from an older copy are kept for a short time, within which running servers list themselves again.
  */
 
 import type { ListedServer } from '../../chains/layerEngine';
 import type { StoreRow } from '../../contracts/watchedStore';
 import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import { trackListing } from '../../gateway/trackListing';
+import type { TrackedServer, TrackedServers } from '../../gateway/trackListing';
 import type { StoreHealth } from '../../gateway/createStoreHealth';
 import type { LogFields } from '../../gateway/job';
 import { followTable } from './followTable';
@@ -24,34 +26,31 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Time for which vanished entries are kept after the store was unreachable. */
+/** Time for which vanished entries are kept after the store was unreachable or set back. */
 const RETAIN_VANISHED_MS = 1_700;
 
 /** Follows the table and keeps the server registry up to date. */
 export function followServers(options: FollowServersOptions): void {
   const { decodeServer, registry, health, log, now } = options;
-  let rows: ReadonlyMap<string, StoreRow> = new Map();
-  const vanished = new Map<string, { readonly server: ListedServer; readonly untilMs: number }>();
+  let tracked: TrackedServers = new Map();
 
+  const isUsed = ({ missing }: TrackedServer): boolean =>
+    missing === undefined || missing.keptUntilMs > now();
   const updateServers = (): void => {
-    const listed = [...rows.values()].flatMap((row) => decodeServer(row) ?? []);
-    const ids = new Set(listed.map(({ id }) => id));
-    for (const [id, { untilMs }] of vanished) {
-      if (ids.has(id) || now() >= untilMs) vanished.delete(id);
-    }
-    registry.list([...listed, ...[...vanished.values()].map(({ server }) => server)]);
-  };
-  const retainVanished = (id: string, row: StoreRow): void => {
-    log('server unlisted', { server: id, isKept: health.wasUnreachableRecently() });
-    const server = health.wasUnreachableRecently() ? decodeServer(row) : undefined;
-    if (server !== undefined) vanished.set(id, { server, untilMs: now() + RETAIN_VANISHED_MS });
+    registry.list([...tracked.values()].filter(isUsed).map(({ server }) => server));
   };
   followTable({
     ...options,
-    onRows: (next) => {
-      for (const [id, row] of rows) if (!next.has(id)) retainVanished(id, row);
-      if (vanished.size > 0) setTimeout(updateServers, RETAIN_VANISHED_MS);
-      rows = next;
+    onRows: (rows, { era }) => {
+      const before = tracked;
+      const keepMs = health.wasUnreachableRecently() ? RETAIN_VANISHED_MS : 0;
+      const listed = [...rows.values()].flatMap((row) => decodeServer(row) ?? []);
+      tracked = trackListing(before, { listed, era, nowMs: now(), keepMs });
+      const vanished = [...tracked].filter(
+        ([id, { missing }]) => missing !== undefined && before.get(id)?.missing === undefined,
+      );
+      for (const [server] of vanished) log('server unlisted', { server, isKept: keepMs > 0, era });
+      if (vanished.length > 0 && keepMs > 0) setTimeout(updateServers, keepMs);
       updateServers();
     },
     onAnswer: health.succeeded,
