--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -203,13 +203,8 @@
     isDraining: () => stoppingSinceMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
   });
-  const placer = createPlacer({
-    registry,
-    protocol,
-    catalog: catalogFollower.current,
-    now,
-    log: writeLog,
-  });
+  const catalog = catalogFollower.current;
+  const placer = createPlacer({ registry, protocol, catalog, now, log: writeLog });
   const executorClaim = createExecutorClaim({
     store: followContext.store,
     table: platform.ownTable,
