Bound what a server in trouble can send

Cause: Node.js bounds one head, chunk extensions and trailers, but not the number of interim responses or of blank lines ahead of a reply. Small requests (reports, orders, store calls) had no bound on their body, a stream none on an event that does not end, and a body in tiny chunks was kept as a list of pieces that takes many times its size. A 101 response without a request for an upgrade counted as an answer.

Ruled out by tests that passed before: an endless line, field, field list, chunk extension or trailer list, and bytes after a whole answer, also on kept connections, end at once.

A status below 200 is no answer. The counter oversized_replies counts calls and streams; the log lines of the call, the stream attempt, the suspicion and the store carry the detail.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -64,7 +64,8 @@
       onReply: (reply) => {
         void readOutcome(host, job, reply).then(resolveCall);
       },
-      onFailure: ({ isSent, detail }) => {
+      onFailure: ({ isSent, detail, isOversized }) => {
+        if (isOversized) host.count('oversized_replies');
         resolveCall({ type: isSent ? 'unknown' : 'unreached', detail });
       },
     },
@@ -98,7 +99,10 @@
     return { type: 'unknown', detail: fault };
   }
   const read = await readReplyBody(reply);
-  if (read.type === 'broken') return { type: 'unknown', detail: read.detail };
+  if (read.type === 'broken') {
+    if (read.isOversized === true) host.count('oversized_replies');
+    return { type: 'unknown', detail: read.detail };
+  }
   const headers = protocol.replyHeaders(reply.headers);
   return { type: 'answered', reply: { status, headers, body: read.body } };
 }
--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -70,7 +70,8 @@
       timeoutMs: waitMs + ANSWER_MARGIN_MS,
       agent,
     });
-    if (result.type !== 'answered') return { type: 'unavailable', detail: result.type };
+    if (result.type === 'refused') return { type: 'unavailable', detail: result.detail };
+    if (result.type === 'silent') return { type: 'unavailable', detail: result.type };
     if (result.status === HISTORY_GONE) return { type: 'history-gone' };
     const answer = answerSchema.safeParse(result.body);
     if (!answer.success) return { type: 'unavailable', detail: `status ${result.status}` };
--- a/src/adapters/gateway/exchangeJson.ts
+++ b/src/adapters/gateway/exchangeJson.ts
@@ -1,6 +1,9 @@
 /** Sends one small JSON request and reads the reply, by default on a new connection. */
 
 import { Agent, request as sendRequest } from 'node:http';
+import { createByteBudget } from '../../gateway/createByteBudget';
+import { createByteBuffer } from '../../gateway/createByteBuffer';
+import { limitReplyHead } from './limitReplyHead';
 
 export interface JsonRequest {
   readonly address: string;
@@ -8,22 +11,31 @@
   readonly path: string;
   readonly body?: string;
   readonly timeoutMs: number;
+  /** Largest body of an answer. */
+  readonly maxBytes?: number;
   /** Reuses connections between calls; without it, each call opens its own. */
   readonly agent?: Agent;
 }
 
 export type JsonResult =
   | { readonly type: 'answered'; readonly status: number; readonly body: unknown }
-  /** The connection was refused or reset. */
-  | { readonly type: 'refused' }
+  /** The connection was refused or reset, or the answer was broken or over its bound. */
+  | { readonly type: 'refused'; readonly detail: string }
   /** No answer before the timeout. */
   | { readonly type: 'silent' };
 
+/** Several times a page of 1 MB, as the changes since a version have no stated bound. */
+const DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
+
+/** Lowest status of a final answer. */
+const FIRST_FINAL_STATUS = 200;
+
 const ownConnection = new Agent({ keepAlive: false });
 
 /** Resolves with the result; a body that is not JSON is undefined. */
 export function exchangeJson(options: JsonRequest): Promise<JsonResult> {
   const { address, method, path, body, timeoutMs, agent = ownConnection } = options;
+  const { maxBytes = DEFAULT_MAX_BYTES } = options;
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
     const outgoing = sendRequest({
@@ -41,22 +53,43 @@
       resolve({ type: 'silent' });
       outgoing.destroy();
     }, timeoutMs);
-    const fail = (): void => {
+    const fail = (detail: string): void => {
       clearTimeout(timer);
-      resolve({ type: 'refused' });
+      resolve({ type: 'refused', detail });
     };
-    outgoing.on('error', fail);
+    const failWith = (error: Error): void => {
+      fail(error.message);
+    };
+    outgoing.on('error', failWith);
+    limitReplyHead(outgoing, () => {
+      fail('head too large');
+    });
     outgoing.on('response', (reply) => {
-      const chunks: Buffer[] = [];
-      reply.on('data', (chunk: Buffer) => chunks.push(chunk));
-      reply.on('error', fail);
-      reply.on('close', fail);
+      const status = reply.statusCode ?? 0;
+      const budget = createByteBudget(maxBytes);
+      const content = createByteBuffer();
+      reply.on('error', failWith);
+      if (status < FIRST_FINAL_STATUS) {
+        fail(`status ${status}`);
+        outgoing.destroy();
+        return;
+      }
+      reply.on('data', (chunk: Buffer) => {
+        if (budget.trySpend(chunk.length)) {
+          content.append(chunk);
+          return;
+        }
+        fail('body too large');
+        outgoing.destroy();
+      });
+      reply.on('close', () => {
+        fail('closed');
+      });
       reply.on('end', () => {
-        clearTimeout(timer);
-        if (!reply.complete) resolve({ type: 'refused' });
+        if (!reply.complete) fail('ended early');
         else {
-          const parsed = parseJson(Buffer.concat(chunks).toString('utf8'));
-          resolve({ type: 'answered', status: reply.statusCode ?? 0, body: parsed });
+          clearTimeout(timer);
+          resolve({ type: 'answered', status, body: parseJson(content.bytes().toString('utf8')) });
         }
       });
     });
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -6,6 +6,7 @@
 
 import { Agent, request as sendRequest } from 'node:http';
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import { limitReplyHead } from './limitReplyHead';
 
 export interface ExchangeRequest {
   readonly address: string;
@@ -15,10 +16,18 @@
   readonly body: Buffer | undefined;
 }
 
+/** No reply was received. */
+export interface ExchangeFailure {
+  /** False if no byte can have reached the server. */
+  readonly isSent: boolean;
+  readonly detail: string;
+  /** The server sent more than a reply's head may have. */
+  readonly isOversized: boolean;
+}
+
 export interface ExchangeHandlers {
   readonly onReply: (reply: IncomingMessage) => void;
-  /** No reply was received; `isSent` is false if no byte can have reached the server. */
-  readonly onFailure: (failure: { readonly isSent: boolean; readonly detail: string }) => void;
+  readonly onFailure: (failure: ExchangeFailure) => void;
 }
 
 export interface Exchange {
@@ -29,6 +38,9 @@
 /** Allows several round trips between failure domains. */
 const CONNECT_TIMEOUT_MS = 250;
 
+/** Lowest status of a final reply; 101 is none either, as no upgrade is ever requested. */
+const FIRST_FINAL_STATUS = 200;
+
 const agent = new Agent({ keepAlive: false });
 
 /** Sends a request and calls exactly one of the handlers, once. */
@@ -45,12 +57,12 @@
     path: request.path,
     headers: request.headers,
   });
-  const fail = (detail: string): void => {
+  const fail = (detail: string, isOversized = false): void => {
     if (isOver) return;
     isOver = true;
     clearTimeout(timer);
     outgoing.destroy();
-    handlers.onFailure({ isSent, detail });
+    handlers.onFailure({ isSent, detail, isOversized });
   };
   const timer = setTimeout(() => {
     fail('connect timeout');
@@ -70,10 +82,14 @@
   outgoing.on('error', (error) => {
     // A reply without a length ends with its connection; after a reset it must not look complete.
     received?.destroy(error);
-    fail(error.message);
+    fail(error.message, 'code' in error && error.code === 'HPE_HEADER_OVERFLOW');
+  });
+  limitReplyHead(outgoing, () => {
+    fail('head too large', true);
   });
   outgoing.on('response', (reply) => {
     received = reply;
+    if ((reply.statusCode ?? 0) < FIRST_FINAL_STATUS) fail(`status ${reply.statusCode ?? 0}`);
     if (isOver) {
       reply.destroy();
       return;
--- a/src/adapters/gateway/readReplyBody.ts
+++ b/src/adapters/gateway/readReplyBody.ts
@@ -1,10 +1,12 @@
 /** Reads a complete reply, so that no part of it is delivered before it is known to be complete. */
 
 import type { IncomingMessage } from 'node:http';
+import { createByteBudget } from '../../gateway/createByteBudget';
+import { createByteBuffer } from '../../gateway/createByteBuffer';
 
 export type ReplyBody =
   | { readonly type: 'whole'; readonly body: Buffer }
-  | { readonly type: 'broken'; readonly detail: string };
+  | { readonly type: 'broken'; readonly detail: string; readonly isOversized?: boolean };
 
 /** Largest reply that is buffered; far larger than the answers of plain services. */
 const MAX_REPLY_BYTES = 8 * 1024 * 1024;
@@ -15,20 +17,21 @@
  */
 export function readReplyBody(reply: IncomingMessage): Promise<ReplyBody> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const budget = createByteBudget(MAX_REPLY_BYTES);
+    const content = createByteBuffer();
     const fail = (detail: string): void => {
       resolve({ type: 'broken', detail });
     };
     reply.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size <= MAX_REPLY_BYTES) return;
+      if (budget.trySpend(chunk.length)) {
+        content.append(chunk);
+        return;
+      }
+      resolve({ type: 'broken', detail: 'body too large', isOversized: true });
       reply.destroy();
-      fail('too large');
     });
     reply.on('end', () => {
-      if (reply.complete) resolve({ type: 'whole', body: Buffer.concat(chunks) });
+      if (reply.complete) resolve({ type: 'whole', body: content.bytes() });
       else fail('ended early');
     });
     reply.on('error', (error) => {
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -7,12 +7,12 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import type { Stage } from '../../chains/layerEngine';
 import { createChainRepair } from './createChainRepair';
+import { createEventSplitter } from '../../gateway/createEventSplitter';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { evaluateSilence } from '../../gateway/evaluateSilence';
 import { openExchange } from './openExchange';
 import { planStreamMigration } from '../../gateway/planStreamMigration';
 import { readReplyBody } from './readReplyBody';
-import { splitEvents } from '../../gateway/splitEvents';
 import type { StreamEvent } from '../../gateway/splitEvents';
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
 import type { StreamProgress } from '../../gateway/streamProgress';
@@ -27,7 +27,7 @@
   | { readonly type: 'not-run'; readonly fault: string | undefined; readonly detail: string }
   | { readonly type: 'unreached'; readonly detail: string }
   /** The request ran in part, or may have. */
-  | { readonly type: 'broken'; readonly detail: string }
+  | { readonly type: 'broken'; readonly detail: string; readonly isOversized?: boolean }
   /** The caller left or the deadline passed. */
   | { readonly type: 'stopped' };
 
@@ -99,6 +99,7 @@
   const endAttempt = (outcome: AttemptOutcome): void => {
     if (isOver) return;
     isOver = true;
+    if (outcome.type === 'broken' && outcome.isOversized === true) host.count('oversized_replies');
     watch.remove(watchedStream);
     for (const move of migrationTimers) clearTimeout(move);
     chain.release();
@@ -133,15 +134,15 @@
     job.response.write(Buffer.concat(newEvents.map(({ bytes }) => bytes)));
   };
   const readEvents = (reply: IncomingMessage): void => {
-    let remainder: Buffer = Buffer.alloc(0);
+    const splitter = createEventSplitter();
     reply.on('data', (chunk: Buffer) => {
       if (isOver) return;
-      const split = splitEvents(remainder, chunk);
-      ({ rest: remainder } = split);
-      deliver(split.events);
+      const { events, isOversized } = splitter.split(chunk);
+      deliver(events);
+      if (isOversized) endAttempt({ type: 'broken', detail: 'body too large', isOversized });
     });
     reply.on('end', () => {
-      if (reply.complete && remainder.length === 0) endAttempt({ type: 'complete' });
+      if (reply.complete && !splitter.hasRest()) endAttempt({ type: 'complete' });
       else endAttempt({ type: 'broken', detail: 'ended early' });
     });
     reply.on('error', (error) => {
@@ -176,7 +177,7 @@
       return;
     }
     void readReplyBody(reply).then((read) => {
-      if (read.type === 'broken') endAttempt({ type: 'broken', detail: read.detail });
+      if (read.type === 'broken') endAttempt(read);
       else {
         const headers = protocol.replyHeaders(reply.headers);
         endAttempt({ type: 'answered', reply: { status, headers, body: read.body } });
@@ -261,8 +262,8 @@
     { address: entry.address, method: job.method, path: job.path, headers, body: job.body },
     {
       onReply: receiveReply,
-      onFailure: ({ isSent, detail }) => {
-        endAttempt({ type: isSent ? 'broken' : 'unreached', detail });
+      onFailure: ({ isSent, detail, isOversized }) => {
+        endAttempt({ type: isSent ? 'broken' : 'unreached', detail, isOversized });
       },
     },
   );
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -80,7 +80,8 @@
 
 export type ReportResult =
   | { readonly type: 'report'; readonly report: EngineReport }
-  | { readonly type: 'refused' }
+  /** The connection was refused or reset, or the answer was broken or over its bound. */
+  | { readonly type: 'refused'; readonly detail?: string }
   | { readonly type: 'silent' }
   | { readonly type: 'failed'; readonly detail: string };
 
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -65,7 +65,8 @@
       const isSame = server.bornMs === 0 || result.report.bornMs === server.bornMs;
       if (isSame) registry.clearSuspicion(id);
       else registry.suspect(id, 'restarted');
-    } else if (result.type !== 'failed') registry.suspect(id, result.type);
+    } else if (result.type === 'refused') registry.suspect(id, result.type, result.detail);
+    else if (result.type === 'silent') registry.suspect(id, result.type);
     return result;
   };
   const ask = (id: string): Promise<ReportResult> => {
