--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -78,7 +78,8 @@
       timeoutMs: waitMs + ANSWER_MARGIN_MS,
       agent,
     });
-    if (result.type !== 'answered') return { type: 'unavailable', detail: result.type };
+    if (result.type === 'refused') return { type: 'unavailable', detail: result.detail };
+    if (result.type === 'silent') return { type: 'unavailable', detail: result.type };
     const gone = goneSchema.safeParse(result.body);
     if (result.status === HISTORY_GONE && gone.success) {
       return { type: 'history-gone', era: gone.data.era };
