Log which content a try runs

A request that crashes its servers comes again under other ids at other VMs. The log named ids only, so the lines of the incident could not tell whether a VM sends a content again after it has seen a server end under it, whether other VMs do, or whether all tries belong to one request. Requests with the same caller, path and body now share `content` in `call tried` and `stream attempt`.

No decision changes.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -9,6 +9,7 @@
 import type { AnswerForm, Catalog, RouteRule, ServiceProfile } from '../../catalog/catalog';
 import { matchRoute } from '../../catalog/matchRoute';
 import { pickService } from '../../catalog/pickService';
+import { fingerprint } from '../../hashing/fingerprint';
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
@@ -51,6 +52,9 @@
 /** A response sent closer than this to the deadline would reach the caller too late. */
 const EXPIRY_MARGIN_MS = 10;
 
+/** Length of a content's fingerprint: short, as VMs exchange it, and too long to be met by chance. */
+const CONTENT_CHARS = 24;
+
 type JobHandler = (host: GatewayHost, job: Job) => Promise<void>;
 
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
@@ -113,16 +117,17 @@
       refuse(request, response, 'not-run', { retryAfterMs: PEER_RETRY_MS });
       return;
     }
-    const job = createJob({ request, response, rule, profile, arrivedMs, body: read.body });
+    const workspace = access.credential?.workspace;
+    const { body } = read;
+    const job = createJob({ request, response, rule, profile, workspace, arrivedMs, body });
     const expiry = setTimeout(() => {
       expire(job);
     }, job.expiresMs - host.now());
     response.once('close', () => {
       clearTimeout(expiry);
     });
-    const authorizedJob = { ...job, workspace: access.credential?.workspace };
     const priority = access.credential?.priority ?? rule.priority;
-    await handlers[rule.form](host, { ...authorizedJob, priority });
+    await handlers[rule.form](host, { ...job, priority });
   };
 
   const expire = (job: Job): void => {
@@ -140,25 +145,30 @@
     readonly response: ServerResponse;
     readonly rule: RouteRule;
     readonly profile: ServiceProfile;
+    readonly workspace: string | undefined;
     readonly arrivedMs: number;
     readonly body: Buffer | undefined;
   }
 
   const createJob = (accepted: AcceptedRequest): Job => {
-    const { request, response, rule, profile, arrivedMs, body } = accepted;
+    const { request, response, rule, profile, workspace, arrivedMs, body } = accepted;
     let isSent = false;
     const head = host.protocol.readRequest(request.headers);
+    const { method = 'GET', url = '/', headers } = request;
+    const bodyText = body?.toString('latin1');
+    const content = fingerprint([headers.host, method, url, workspace, bodyText]);
     const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, rule.timeoutMs);
     return {
       head,
       rule,
       profile,
-      workspace: undefined,
+      workspace,
       priority: rule.priority,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers: request.headers,
+      method,
+      path: url,
+      headers,
       body,
+      content: content.slice(0, CONTENT_CHARS),
       response,
       arrivedMs,
       isRetry: retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -164,6 +164,7 @@
   host.count('stream_attempts', outcome.type);
   host.log('stream attempt', {
     id: job.head.id,
+    content: job.content,
     end: outcome.type,
     detail: 'detail' in outcome ? outcome.detail : undefined,
     fault: outcome.type === 'not-run' ? outcome.fault : undefined,
--- a/src/adapters/gateway/tryCallServer.ts
+++ b/src/adapters/gateway/tryCallServer.ts
@@ -54,6 +54,7 @@
   history.recordCall(server.id, isFailure, tookMs);
   host.log('call tried', {
     id: job.head.id,
+    content: job.content,
     server: server.id,
     isSuspected,
     end: outcome.type,
--- a/src/adapters/handleCompletion.ts
+++ b/src/adapters/handleCompletion.ts
@@ -1,6 +1,6 @@
 /** Validates a completion request and passes it to the router. */
 
-import { createHash } from 'node:crypto';
+import { fingerprint } from '../hashing/fingerprint';
 import type { Request } from '../requests/request';
 import type { ModelService } from '../services/service';
 import { MS_PER_SECOND } from '../units';
@@ -103,7 +103,6 @@
 ): Request {
   const receivedAtMs = host.now();
   const { prompt, maxTokens, priority } = completionRequest;
-  const content = JSON.stringify([service.model, prompt, maxTokens]);
   return {
     id: host.createId(),
     workspace: service.workspace,
@@ -113,6 +112,6 @@
     priority,
     receivedAtMs,
     deadlineAtMs: receivedAtMs + service.firstTokenTargetMs,
-    fingerprint: createHash('sha256').update(content).digest('hex'),
+    fingerprint: fingerprint([service.model, prompt, maxTokens]),
   };
 }
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -20,6 +20,8 @@
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer | undefined;
+  /** Fingerprint of what a repeated request has in common with the first: its caller, path and body. */
+  readonly content: string;
   readonly response: ServerResponse;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
