Reproduce requests that crash the servers that run them

The stand-in servers can end: they close their port, lose what runs, drop out of the list and start again with another id at the same address.

--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -10,21 +10,15 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createRandom } from '../../src/random/createRandom';
-import {
-  createConfiguration,
-  LAYERS,
-  ROUTE_LIMITS,
-} from '../../platform/standins/createConfiguration';
+import { LAYERS, ROUTE_LIMITS } from '../../platform/standins/createConfiguration';
 import { DEADLINE_MS, sendRequest } from '../../platform/standins/sendRequest';
 import type { CallerRequestKind } from '../../platform/standins/sendRequest';
 import { createStream } from '../../platform/standins/createStream';
-import { startEngine } from '../../platform/standins/startEngine';
-import { startStore } from '../../platform/standins/startStore';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
 import type { SoakLedger } from './soakLedger';
 import { createSoakLedger } from './soakLedger';
-import { startGatewayProcess } from './startGatewayProcess';
+import { startSoakSite } from './startSoakSite';
 
 export interface FaultSoakOptions {
   readonly seed: number;
@@ -44,9 +38,6 @@
   readonly log: readonly string[];
 }
 
-const GATEWAY_COUNT = 3;
-const DOMAINS = ['a', 'b', 'c'] as const;
-
 const MEAN_REQUEST_GAP_MS = 12;
 const MEAN_FAULT_GAP_MS = 500;
 const MEAN_FAULT_MS = 1_200;
@@ -65,7 +56,16 @@
     streamBody: (requestId) => createStream(requestId).events.join(''),
   });
   const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
-  const site = await startSite(ledger, folder, options.program);
+  const site = await startSoakSite({
+    folder,
+    program: options.program,
+    serverHooks: {
+      onRun: ledger.recordRun,
+      onRunEnded: ledger.recordRunEnd,
+      onStages: ledger.recordStages,
+      onConnectionsLost: ledger.recordLostConnections,
+    },
+  });
   const caller = createCaller(site, ledger, options.seed);
   const findings: string[] = [];
   if (!(await caller.waitUntilServing(MAX_RECOVERY_MS)))
@@ -100,38 +100,6 @@
   };
 }
 
-async function startSite(ledger: SoakLedger, folder: string, program: string): Promise<SoakSite> {
-  const store = await startStore();
-  const callbacks = {
-    onRun: ledger.recordRun,
-    onRunEnded: ledger.recordRunEnd,
-    onStages: ledger.recordStages,
-    onConnectionsLost: ledger.recordLostConnections,
-  };
-  const engineZones = DOMAINS.flatMap((zone) => [zone, zone, zone].map((name) => ({ zone: name })));
-  const engines = await Promise.all([
-    ...engineZones.map(({ zone }, index) =>
-      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, ...callbacks }),
-    ),
-    ...DOMAINS.map((zone) =>
-      startEngine({ id: `p-${zone}`, service: 'desk', zone, kind: undefined, store, ...callbacks }),
-    ),
-  ]);
-  store.put('op', 'config', createConfiguration());
-  const gateways = await Promise.all(
-    Array.from({ length: GATEWAY_COUNT }, (_, index) =>
-      startGatewayProcess({
-        name: `vm-${index}`,
-        zone: DOMAINS[index % DOMAINS.length] ?? 'a',
-        program,
-        folder,
-        storeAddress: store.address,
-      }),
-    ),
-  );
-  return { store, engines, gateways };
-}
-
 interface SoakCaller {
   /** Sends requests until one of each kind has a complete answer or the time is up. Resolves to false on timeout. */
   readonly waitUntilServing: (withinMs: number) => Promise<boolean>;
--- a/measurements/faultSoak/soakFaults.ts
+++ b/measurements/faultSoak/soakFaults.ts
@@ -1,7 +1,7 @@
 /** Faults of the fault soak. Each takes effect when it is called and returns a function that reverts it. */
 
 import type { Random } from '../../src/random/createRandom';
-import type { EngineStandin } from '../../platform/standins/startEngine';
+import type { EngineStandin } from '../../platform/standins/engineStandin';
 import type { GatewayProcess } from './startGatewayProcess';
 import type { StoreStandin } from '../../platform/standins/startStore';
 
--- a/measurements/faultSoak/soakLedger.test.ts
+++ b/measurements/faultSoak/soakLedger.test.ts
@@ -1,5 +1,5 @@
 import type { CallerOutcome, CallerRequestKind } from '../../platform/standins/sendRequest';
-import type { ServerIdentity } from '../../platform/standins/startEngine';
+import type { ServerIdentity } from '../../platform/standins/engineStandin';
 import { createSoakLedger } from './soakLedger';
 import type { Circumstances, SoakLedger } from './soakLedger';
 
--- a/measurements/faultSoak/soakLedger.ts
+++ b/measurements/faultSoak/soakLedger.ts
@@ -10,7 +10,7 @@
 
 import type { CallerOutcome, CallerRequestKind } from '../../platform/standins/sendRequest';
 import type { RouteLimits } from '../../platform/standins/createConfiguration';
-import type { RunEnd, ServerIdentity } from '../../platform/standins/startEngine';
+import type { RunEnd, ServerIdentity } from '../../platform/standins/engineStandin';
 
 /** What can excuse a broken answer, apart from the servers. */
 export interface Circumstances {
--- a/standins/proxy/startProxy.ts
+++ b/standins/proxy/startProxy.ts
@@ -9,8 +9,9 @@
  * `mute` keeps connections open and drops all bytes; `deaf` drops only the bytes of the caller. A
  * direction that dropped bytes stays blocked in later modes, because TCP never delivers later bytes
  * without the earlier ones. `hold` drops nothing: bytes, ends and new connections wait for the next mode.
+ * `down` listens no longer, as after the end of a process; the next mode listens at the same address again.
  */
-export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse' | 'hold';
+export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse' | 'hold' | 'down';
 
 export interface FaultProxy {
   readonly address: string;
@@ -23,12 +24,16 @@
 /** Delay of every chunk in `slow` mode, milliseconds; several times the interval between events. */
 const SLOW_MS = 80;
 
+/** Delay before another try to listen at an address that is taken for the moment. */
+const LISTEN_RETRY_MS = 50;
+
 /** Starts a proxy in front of an address. */
 export async function startProxy(target: string): Promise<FaultProxy> {
   const [host, port] = target.split(':');
   const open = new Set<Socket>();
   const waiters = new Set<() => void>();
   let mode: ProxyMode = 'pass';
+  let isClosed = false;
   const untilReleased = async (): Promise<void> => {
     while (mode === 'hold') await new Promise<void>((resolve) => waiters.add(resolve));
   };
@@ -93,18 +98,28 @@
     }
   });
   const address = await listenOnLoopback(server);
+  const listenAgain = (): void => {
+    if (mode !== 'down' && !isClosed) server.listen(Number(address.split(':')[1]), '127.0.0.1');
+  };
+  server.on('error', () => {
+    setTimeout(listenAgain, LISTEN_RETRY_MS);
+  });
   const reset = (): void => {
     for (const socket of [...open]) socket.resetAndDestroy();
   };
   return {
     address,
     setMode: (next) => {
+      const before = mode;
       mode = next;
+      if (next === 'down' && before !== 'down') server.close();
+      if (next !== 'down' && before === 'down') listenAgain();
       for (const waiter of waiters) waiter();
       waiters.clear();
     },
     reset,
     close: () => {
+      isClosed = true;
       reset();
       server.close();
     },
