Count crashes of a content in one place

`addCrash`, `joinCrashes`, `hasCrashedTooOften` and `pruneCrashTallies` now hold these steps, apart from the router's state. What the own interface decides beyond them (isolation, outages of a failure domain, designated servers) stays there.

The tests of the pruning moved with it; they pass their bounds instead of importing them, with the same expectations.

--- a/src/requests/pruneSuspects.test.ts
+++ b/src/crashes/pruneCrashTallies.test.ts
@@ -1,6 +1,8 @@
 import { Map } from 'immutable';
-import { MAX_SUSPECTS, SUSPECT_EXPIRY_MS } from './constants';
-import { pruneSuspects } from './pruneSuspects';
+import { MAX_SUSPECTS, SUSPECT_EXPIRY_MS } from '../requests/constants';
+import { pruneCrashTallies } from './pruneCrashTallies';
+
+const bounds = { maxTallies: MAX_SUSPECTS, validMs: SUSPECT_EXPIRY_MS };
 
 const records = Map(
   Array.from({ length: MAX_SUSPECTS }, (_, index) => {
@@ -9,15 +11,15 @@
   }),
 );
 
-describe('pruneSuspects', () => {
+describe('pruneCrashTallies', () => {
   it('removes the record with the oldest crash if none has expired', () => {
-    const pruned = pruneSuspects(records, MAX_SUSPECTS);
+    const pruned = pruneCrashTallies(records, MAX_SUSPECTS, bounds);
     expect(pruned.size).toBe(MAX_SUSPECTS - 1);
     expect(pruned.has('content0')).toBe(false);
   });
 
   it('removes all expired records', () => {
-    const pruned = pruneSuspects(records, SUSPECT_EXPIRY_MS + MAX_SUSPECTS - 3);
+    const pruned = pruneCrashTallies(records, SUSPECT_EXPIRY_MS + MAX_SUSPECTS - 3, bounds);
     expect([...pruned.keys()].sort()).toEqual([
       `content${MAX_SUSPECTS - 2}`,
       `content${MAX_SUSPECTS - 1}`,
@@ -26,6 +28,6 @@
 
   it('keeps all records below the limit', () => {
     const few = records.take(5);
-    expect(pruneSuspects(few, 10 * SUSPECT_EXPIRY_MS)).toBe(few);
+    expect(pruneCrashTallies(few, 10 * SUSPECT_EXPIRY_MS, bounds)).toBe(few);
   });
 });
--- a/src/requests/attributeCrash.ts
+++ b/src/requests/attributeCrash.ts
@@ -1,8 +1,9 @@
 /** Attributes the crash of a backend server to a content that ran on it. */
 
 import type { BackendServerId } from '../backendServers/backendServer';
-import { CRASH_WINDOW_MS, OUTAGE_CRASHES, SUSPECT_EXPIRY_MS } from './constants';
-import { pruneSuspects } from './pruneSuspects';
+import { addCrash } from '../crashes/addCrash';
+import { pruneCrashTallies } from '../crashes/pruneCrashTallies';
+import { CRASH_WINDOW_MS, MAX_SUSPECTS, OUTAGE_CRASHES, SUSPECT_EXPIRY_MS } from './constants';
 import type { Router, RouterDecision } from './router';
 import type { RunningRequest } from './runningRequest';
 import type { RecentCrash, SuspectRecord, CrashHistory } from './crashHistory';
@@ -26,8 +27,12 @@
     return { state: { ...router, crashHistory }, effects: [] };
   }
   const { fingerprint } = running.request;
-  const record = addCrashToRecord(router.crashHistory.records.get(fingerprint), server, atMs);
-  const records = pruneSuspects(router.crashHistory.records, atMs).set(fingerprint, record);
+  const known = router.crashHistory.records.get(fingerprint);
+  const record = addCrashToRecord(known, server, atMs);
+  const records = pruneCrashTallies(router.crashHistory.records, atMs, {
+    maxTallies: MAX_SUSPECTS,
+    validMs: SUSPECT_EXPIRY_MS,
+  }).set(fingerprint, record);
   const suspect = { fingerprint, crashes: record.crashes, ageMs: 0, servers: record.servers };
   return {
     state: { ...router, crashHistory: { records, crashes } },
@@ -75,15 +80,12 @@
   return { ...crashHistory, records };
 }
 
-/** Counts a crash of a server once, however many requests of the content ran on it. */
+/** Another crash makes a cleared content a suspect again. */
 function addCrashToRecord(
   record: SuspectRecord | undefined,
   server: BackendServerId,
   atMs: number,
 ): SuspectRecord {
-  const isFresh = record !== undefined && atMs - record.lastCrashAtMs < SUSPECT_EXPIRY_MS;
-  if (!isFresh) return { servers: [server], crashes: 1, lastCrashAtMs: atMs, isCleared: false };
-  if (record.servers.includes(server)) return record;
-  const servers = [...record.servers, server];
-  return { servers, crashes: record.crashes + 1, lastCrashAtMs: atMs, isCleared: false };
+  const tally = addCrash(record, server, atMs, { validMs: SUSPECT_EXPIRY_MS });
+  return record !== undefined && tally === record ? record : { ...tally, isCleared: false };
 }
--- a/src/requests/crashHistory.ts
+++ b/src/requests/crashHistory.ts
@@ -6,14 +6,10 @@
 
 import type { Map } from 'immutable';
 import type { BackendServerId } from '../backendServers/backendServer';
+import type { CrashTally } from '../crashes/crashTally';
 
 /** Crashes attributed to one content. */
-export interface SuspectRecord {
-  /** Backend servers known to have crashed while running it. */
-  readonly servers: readonly BackendServerId[];
-  /** Number of crashes, including those that other VMs observed. */
-  readonly crashes: number;
-  readonly lastCrashAtMs: number;
+export interface SuspectRecord extends CrashTally {
   /** True once it produced tokens after its crash; another crash still counts as its second. */
   readonly isCleared: boolean;
 }
--- a/src/requests/evaluateContent.ts
+++ b/src/requests/evaluateContent.ts
@@ -1,5 +1,6 @@
 /** Decides how content may run, based on the crashes attributed to it. */
 
+import { hasCrashedTooOften } from '../crashes/hasCrashedTooOften';
 import { MAX_CRASHES, SUSPECT_EXPIRY_MS } from './constants';
 import type { Router } from './router';
 
@@ -14,6 +15,7 @@
 export function evaluateContent(router: Router, fingerprint: string, atMs: number): Verdict {
   const record = router.crashHistory.records.get(fingerprint);
   if (record === undefined || atMs - record.lastCrashAtMs >= SUSPECT_EXPIRY_MS) return 'free';
-  if (record.crashes >= MAX_CRASHES) return 'refused';
+  const limit = { maxCrashes: MAX_CRASHES, validMs: SUSPECT_EXPIRY_MS };
+  if (hasCrashedTooOften(record, limit, atMs)) return 'refused';
   return record.isCleared ? 'free' : 'alone';
 }
--- a/src/requests/mergeSuspects.ts
+++ b/src/requests/mergeSuspects.ts
@@ -1,5 +1,6 @@
 /** Merges suspects received from other VMs into the crash history. */
 
+import { joinCrashes } from '../crashes/joinCrashes';
 import { MAX_SUSPECTS } from './constants';
 import type { Router } from './router';
 import type { RouterEvent, Suspect } from './routerMessage';
@@ -23,8 +24,7 @@
   suspect: Suspect,
   atMs: number,
 ): SuspectRecord {
-  const servers = [...new Set([...(known?.servers ?? []), ...(suspect.servers ?? [])])];
-  const crashes = Math.max(known?.crashes ?? 0, suspect.crashes, servers.length);
+  const { servers, crashes } = joinCrashes(known, suspect);
   const lastCrashAtMs = Math.max(known?.lastCrashAtMs ?? -Infinity, atMs - suspect.ageMs);
   const isCleared = known !== undefined && known.isCleared && crashes === known.crashes;
   return { servers, crashes, lastCrashAtMs, isCleared };
--- a/src/vms/shareSuspects.ts
+++ b/src/vms/shareSuspects.ts
@@ -1,5 +1,6 @@
 /** Shares the fingerprints of contents suspected to crash backend servers with all VMs. */
 
+import { joinCrashes } from '../crashes/joinCrashes';
 import type { Suspect } from '../requests/routerMessage';
 import type { Fleet, FleetDecision } from './fleet';
 import {
@@ -75,9 +76,8 @@
 /** Crashes of different servers count as different crashes, whichever VM observed them. */
 function joinSuspects(suspect: Suspect, before: Suspect | undefined): Suspect {
   if (before === undefined) return suspect;
-  const all = new Set([...(before.servers ?? []), ...(suspect.servers ?? [])]);
-  const servers = [...all].slice(0, MAX_SUSPECT_SERVERS);
-  const crashes = Math.max(before.crashes, suspect.crashes, servers.length);
+  const { servers: all, crashes } = joinCrashes(before, suspect);
+  const servers = all.slice(0, MAX_SUSPECT_SERVERS);
   const designated = minName(before.designated, suspect.designated);
   return { ...suspect, servers, crashes, ...(designated === undefined ? {} : { designated }) };
 }
