Refuse a request under which three servers have ended

Callers saw a whole service gone for seconds, again and again: a lookup ended each server that ran it, and was sent to the next one at any VM as often as it came.

Cause: the gateway kept nothing of a content. Failures were held against servers only, so the content went on to the next server and the next VM. The class of fault: evidence about the request is booked on the server.

Now a run whose connection is lost counts against its content if its server has ended: it refuses connections, or another incarnation answers. A call asks for that at once, as streams did. The third end has the content refused, with the time to come back, under any id. VMs tell each other at once, and every second for those that have missed it, in datagrams that older VMs drop as they are no heartbeats. What is exchanged only grows, so no clock of another VM is needed. A content that runs without harm is cleared on all VMs, and a server that answers again takes its end back, so requests that were on the same server go on; so do other requests, once servers are back. The counting is that of the own interface.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -20,9 +20,9 @@
   /** The server reports that it did not run the request. */
   | { readonly type: 'not-run'; readonly detail: string }
   /** No connection was made, so nothing was sent. */
-  | { readonly type: 'unreached'; readonly detail: string }
-  /** The request may have run. */
-  | { readonly type: 'unknown'; readonly detail: string }
+  | { readonly type: 'unreached'; readonly detail: string; readonly isRefused: boolean }
+  /** The request may have run; `isLost` if the connection ended before the answer did. */
+  | { readonly type: 'unknown'; readonly detail: string; readonly isLost: boolean }
   /** The caller left or the deadline passed. */
   | { readonly type: 'stopped' };
 
@@ -65,15 +65,16 @@
       onReply: (reply) => {
         void readOutcome(host, job, server, reply).then(resolveCall);
       },
-      onFailure: ({ isSent, detail, isOversized }) => {
+      onFailure: ({ isSent, detail, isRefused, isOversized }) => {
         if (isOversized) host.count('oversized_replies');
-        resolveCall({ type: isSent ? 'unknown' : 'unreached', detail });
+        if (isSent) resolveCall({ type: 'unknown', detail, isLost: !isOversized });
+        else resolveCall({ type: 'unreached', detail, isRefused });
       },
     },
   );
   const abandon = (detail: string): void => {
     exchange.abort();
-    resolveCall({ type: 'unknown', detail });
+    resolveCall({ type: 'unknown', detail, isLost: false });
   };
   job.onClose(() => {
     exchange.abort();
@@ -99,12 +100,12 @@
   const fault = findReplyFault(head, job.head.id);
   if (fault !== undefined) {
     reply.destroy();
-    return { type: 'unknown', detail: fault };
+    return { type: 'unknown', detail: fault, isLost: false };
   }
   const read = await readReplyBody(reply);
   if (read.type === 'broken') {
     if (read.isOversized === true) host.count('oversized_replies');
-    return { type: 'unknown', detail: read.detail };
+    return { type: 'unknown', detail: read.detail, isLost: read.isOversized !== true };
   }
   if (head.isLeaving) host.registry.recordLeaving(server.id);
   const headers = protocol.replyHeaders(reply.headers);
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -9,7 +9,7 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { replaceStages } from '../../chains/replaceStages';
 import type { OrderResult } from '../../gateway/backendProtocol';
-import type { Reservation } from '../../gateway/createServerRegistry';
+import type { Reservation } from '../../gateway/serverRegistry';
 import type { GatewayHost, Job } from '../../gateway/job';
 
 export interface ChainRepair {
--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -120,6 +120,11 @@
     const workspace = access.credential?.workspace;
     const { body } = read;
     const job = createJob({ request, response, rule, profile, workspace, arrivedMs, body });
+    const heldMs = host.contents.heldMs(job.content);
+    if (heldMs > 0) {
+      refuse(request, response, 'held-back', { retryAfterMs: heldMs });
+      return;
+    }
     const expiry = setTimeout(() => {
       expire(job);
     }, job.expiresMs - host.now());
--- a/src/adapters/gateway/createPeerGroup.test.ts
+++ b/src/adapters/gateway/createPeerGroup.test.ts
@@ -1,6 +1,6 @@
 import { createSocket } from 'node:dgram';
 import { createServerRegistry } from '../../gateway/createServerRegistry';
-import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerRegistry } from '../../gateway/serverRegistry';
 import { createFirstEventDelays } from '../../gateway/createFirstEventDelays';
 import type { PeerRecord } from '../../peers/peer';
 import { createListedServer } from '../../chains/testEngine';
@@ -42,6 +42,7 @@
     isAccepting: () => true,
     onSuspected: (id) => suspectReports.push(`${record.vm} ${id}`),
     onRecovered: () => undefined,
+    onDatagram: (datagram) => datagrams.push(`${record.vm} ${Buffer.from(datagram).toString()}`),
     now,
     log: () => undefined,
   });
@@ -58,6 +59,7 @@
 
 let members: readonly Member[] = [];
 const suspectReports: string[] = [];
+const datagrams: string[] = [];
 
 beforeEach(async () => {
   const ports = await findPorts(18);
@@ -89,6 +91,13 @@
     );
   });
 
+  it('passes on datagrams that are no heartbeats', async () => {
+    const [first] = members;
+    first?.group.broadcast(Buffer.from('news'));
+    await waitUntil(() => datagrams.length > 0);
+    expect(datagrams.every((datagram) => datagram.endsWith(' news'))).toBe(true);
+  });
+
   it('lists all VMs from relayed heartbeats, and replaces a relay that has failed', async () => {
     await waitUntil(() => members.every(({ group }) => group.live().length === members.length));
     const [relay, ...others] = members;
--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -4,7 +4,7 @@
  */
 
 import { createSocket } from 'node:dgram';
-import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerRegistry } from '../../gateway/serverRegistry';
 import type { GatewayWork } from '../../gateway/gatewayWork';
 import type { LogFields } from '../../gateway/job';
 import { chooseRelays, isRelayedFleet } from '../../peers/chooseRelays';
@@ -28,6 +28,8 @@
   readonly relays: () => readonly PeerRecord[];
   /** Sends heartbeats immediately, ahead of the interval. */
   readonly announce: () => void;
+  /** Sends a datagram to the VMs that get this VM's heartbeats. */
+  readonly broadcast: (datagram: Uint8Array) => void;
   /** Announces after a short delay, which batches changes that come together. */
   readonly announceSoon: () => void;
   /** Records of VMs that have been silent for so long that they can be removed. */
@@ -43,6 +45,8 @@
   readonly onSuspected: (id: string, bornMs: number) => void;
   /** Called for a backend server that a relay no longer reports as not answering. */
   readonly onRecovered: (id: string) => void;
+  /** Called for a datagram that is not a heartbeat. */
+  readonly onDatagram?: (datagram: Uint8Array) => void;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -126,6 +130,11 @@
         ? [ownDigest(), ...digests.listOtherDomains(self.failureDomain)]
         : [{ ...ownDigest(), members: [] }],
   };
+  const sendTo = ({ peerAddress }: PeerRecord, datagram: Uint8Array): void => {
+    const [peerHost, peerPort] = peerAddress.split(':');
+    // A send error counts as a lost datagram, which receivers tolerate up to a limit.
+    socket.send(datagram, Number(peerPort), peerHost, () => undefined);
+  };
   const announce = (): void => {
     // Makes this heartbeat a full one, because it announces a change.
     heartbeatCount = -1;
@@ -153,9 +162,7 @@
           domains: digestsByScope[scope](isFullHeartbeat),
         });
       datagrams.set(scope, datagram);
-      const [peerHost, peerPort] = peer.peerAddress.split(':');
-      // A send error counts as a missed heartbeat, which receivers tolerate up to a limit.
-      socket.send(datagram, Number(peerPort), peerHost, () => undefined);
+      sendTo(peer, datagram);
     }
   };
   let announceTimer: NodeJS.Timeout | undefined;
@@ -209,7 +216,10 @@
   };
   socket.on('message', (datagram) => {
     const heartbeat = decodeHeartbeat(datagram);
-    if (heartbeat === undefined) return;
+    if (heartbeat === undefined) {
+      options.onDatagram?.(datagram);
+      return;
+    }
     relayMonitor.recordHeartbeat(heartbeat.vm);
     if (heartbeat.domains.length === 0) mergeHeartbeat(heartbeat);
     else for (const digest of heartbeat.domains) mergeDigest(digest);
@@ -258,6 +268,10 @@
     relays: () =>
       isRelayed() ? chooseRelays(records, self.failureDomain, relayMonitor.isSilent) : [],
     announce,
+    broadcast: (datagram) => {
+      for (const { peer } of planHeartbeats(self, records, relayMonitor.isSilent))
+        sendTo(peer, datagram);
+    },
     announceSoon,
     departed: () =>
       records.filter(({ vm, incarnation }) => {
--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -10,7 +10,7 @@
 import { planLayers } from '../../chains/planLayers';
 import type { ListedServer } from '../../chains/layerEngine';
 import type { BackendProtocol, EngineReport } from '../../gateway/backendProtocol';
-import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerRegistry } from '../../gateway/serverRegistry';
 import type { ServerSuspicion } from '../../gateway/createSuspicions';
 import type { LogFields } from '../../gateway/job';
 import type { PendingOrder } from '../../placing/pendingOrder';
--- a/src/adapters/gateway/createStreamWatch.ts
+++ b/src/adapters/gateway/createStreamWatch.ts
@@ -1,6 +1,6 @@
 /** Checks all running streams with one timer, and notifies them of engines that are suspected or leaving. */
 
-import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerRegistry } from '../../gateway/serverRegistry';
 import type { StreamWatch, WatchedStream } from '../../gateway/streamWatch';
 
 /** Interval between checks; a fraction of the pause that callers notice. */
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -11,7 +11,8 @@
 const NO_CHAIN_RETRY_MS = 2_500;
 
 /** Why a stream got no further attempt. */
-export type StreamLimit = 'no chain' | 'attempts of the route' | 'retry budget' | 'not resumable';
+export type StreamLimit =
+  'no chain' | 'attempts of the route' | 'retry budget' | 'not resumable' | 'held back';
 
 export interface StreamEnd {
   /** What ruled out a further attempt; undefined if the last outcome did. */
--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -5,7 +5,7 @@
 
 import type { ListedServer } from '../../chains/layerEngine';
 import type { StoreRow } from '../../contracts/watchedStore';
-import type { ServerRegistry } from '../../gateway/createServerRegistry';
+import type { ServerRegistry } from '../../gateway/serverRegistry';
 import { trackListing } from '../../gateway/trackListing';
 import type { TrackedServer, TrackedServers } from '../../gateway/trackListing';
 import type { StoreHealth } from '../../gateway/createStoreHealth';
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -21,6 +21,8 @@
   /** False if no byte can have reached the server. */
   readonly isSent: boolean;
   readonly detail: string;
+  /** Nobody listens at the address. */
+  readonly isRefused: boolean;
   /** The server sent more than a reply's head may have. */
   readonly isOversized: boolean;
 }
@@ -59,12 +61,12 @@
     path: request.path,
     headers: request.headers,
   });
-  const fail = (detail: string, isOversized = false): void => {
+  const fail = (detail: string, { isOversized = false, isRefused = false } = {}): void => {
     if (isOver) return;
     isOver = true;
     clearTimeout(timer);
     outgoing.destroy();
-    handlers.onFailure({ isSent, detail, isOversized });
+    handlers.onFailure({ isSent, detail, isRefused, isOversized });
   };
   const timer = setTimeout(() => {
     fail('connect timeout');
@@ -84,10 +86,14 @@
   outgoing.on('error', (error) => {
     // A reply without a length ends with its connection; after a reset it must not look complete.
     received?.destroy(error);
-    fail(error.message, 'code' in error && error.code === 'HPE_HEADER_OVERFLOW');
+    const code = 'code' in error ? error.code : undefined;
+    fail(error.message, {
+      isOversized: code === 'HPE_HEADER_OVERFLOW',
+      isRefused: code === 'ECONNREFUSED',
+    });
   });
   limitReplyHead(outgoing, () => {
-    fail('head too large', true);
+    fail('head too large', { isOversized: true });
   });
   outgoing.on('response', (reply) => {
     received = reply;
--- a/src/adapters/gateway/refuseJob.ts
+++ b/src/adapters/gateway/refuseJob.ts
@@ -6,6 +6,7 @@
 /** Why the gateway refuses a request. */
 export type RefusalReason =
   | 'not-run'
+  | 'held-back'
   | 'expired-not-run'
   | 'expired'
   | 'unknown-outcome'
@@ -17,6 +18,7 @@
 /** 503 guarantees that the request has not run and will not; 502 and 504 guarantee nothing. */
 const STATUS: Readonly<Record<RefusalReason, number>> = {
   'not-run': 503,
+  'held-back': 503,
   'expired-not-run': 503,
   expired: 504,
   'unknown-outcome': 502,
--- a/src/adapters/gateway/reserveStreamChain.ts
+++ b/src/adapters/gateway/reserveStreamChain.ts
@@ -1,7 +1,7 @@
 /** Finds a chain for a stream and reserves it in the same step, so that no other stream counts on its room. */
 
 import type { Stage } from '../../chains/layerEngine';
-import type { Reservation } from '../../gateway/createServerRegistry';
+import type { Reservation } from '../../gateway/serverRegistry';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { findStreamChain } from './findStreamChain';
 import type { StreamChainSearch } from './findStreamChain';
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -27,9 +27,14 @@
   | { readonly type: 'answered'; readonly reply: ServerReply }
   /** The chain reports that it did not run the request. */
   | { readonly type: 'not-run'; readonly fault: string | undefined; readonly detail: string }
-  | { readonly type: 'unreached'; readonly detail: string }
-  /** The request ran in part, or may have. */
-  | { readonly type: 'broken'; readonly detail: string; readonly isOversized?: boolean }
+  | { readonly type: 'unreached'; readonly detail: string; readonly isRefused?: boolean }
+  /** The request ran in part, or may have; `isLost` if the connection ended before the answer did. */
+  | {
+      readonly type: 'broken';
+      readonly detail: string;
+      readonly isOversized?: boolean;
+      readonly isLost?: boolean;
+    }
   /** The caller left or the deadline passed. */
   | { readonly type: 'stopped' };
 
@@ -146,13 +151,13 @@
     });
     reply.on('end', () => {
       if (reply.complete && !splitter.hasRest()) endAttempt({ type: 'complete' });
-      else endAttempt({ type: 'broken', detail: 'ended early' });
+      else endAttempt({ type: 'broken', detail: 'ended early', isLost: true });
     });
     reply.on('error', (error) => {
-      endAttempt({ type: 'broken', detail: error.message });
+      endAttempt({ type: 'broken', detail: error.message, isLost: true });
     });
     reply.on('close', () => {
-      endAttempt({ type: 'broken', detail: 'closed' });
+      endAttempt({ type: 'broken', detail: 'closed', isLost: true });
     });
   };
   const receiveReply = (reply: IncomingMessage): void => {
@@ -257,8 +262,9 @@
     { address: entry.address, method: job.method, path: job.path, headers, body: job.body },
     {
       onReply: receiveReply,
-      onFailure: ({ isSent, detail, isOversized }) => {
-        endAttempt({ type: isSent ? 'broken' : 'unreached', detail, isOversized });
+      onFailure: ({ isSent, detail, isRefused, isOversized }) => {
+        if (isSent) endAttempt({ type: 'broken', detail, isOversized, isLost: !isOversized });
+        else endAttempt({ type: 'unreached', detail, isRefused });
       },
     },
   );
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -78,7 +78,8 @@
     ends.push(outcome.type);
     failedBy = server.id;
     if (outcome.type === 'unreached') {
-      host.registry.suspect(server.id, 'unreached', outcome.detail);
+      const reason = outcome.isRefused ? 'refused' : 'unreached';
+      host.registry.suspect(server.id, reason, outcome.detail);
       continue;
     }
     servers.add(server.id);
@@ -88,11 +89,16 @@
     }
     if (outcome.type === 'answered') {
       host.registry.clearSuspicion(server.id);
+      host.contents.recordHarmlessRun(job.content);
       fallback = outcome.reply;
       failures += 1;
       if (!isServerFailure(outcome.reply.status) || failures >= CONFIRMED_FAILURES) break;
     }
-    if (!rule.isIdempotent) break;
+    if (outcome.type === 'unknown' && outcome.isLost) {
+      host.contents.recordLoss(server, job.content);
+      void host.probes.check(server.id);
+    }
+    if (!rule.isIdempotent || host.contents.heldMs(job.content) > 0) break;
   }
   if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -6,6 +6,7 @@
 import type { Stage } from '../../chains/layerEngine';
 import type { PipelineModel } from '../../chains/pipelineModel';
 import type { AdmissionQueue } from './createAdmissionQueue';
+import { createHarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { finishStream } from './finishStream';
 import type { StreamLimit } from './finishStream';
@@ -52,6 +53,7 @@
   /** Moves only to a server that has not had the request, so that silences do not send it to and fro. */
   const prepareMove = (entry: string): StreamLimit | undefined => {
     if (!rule.isResumable) return 'not resumable';
+    if (host.contents.heldMs(job.content) > 0) return 'held back';
     const excluded = new Set([...runServers, entry]);
     if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
     const hasBegun = progress.events > 0;
@@ -66,6 +68,10 @@
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
     const entries = runServers.size < rule.maxAttempts ? undefined : runServers;
     const hasBegun = progress.events > 0;
+    if (host.contents.heldMs(job.content) > 0) {
+      limit = 'held back';
+      break;
+    }
     const chain =
       prepared ?? (await waitForStreamChain(host, job, queue, { tokens, hasBegun, entries }));
     prepared = undefined;
@@ -80,8 +86,11 @@
     }
     const { stages } = chain;
     const entry = stages[0]?.id ?? '';
+    const incarnation = host.registry.find(entry);
     const usedRetry: boolean = isRetrySpent;
     isRetrySpent = false;
+    const eventsBefore = progress.events;
+    const detector = createHarmlessRunDetector(host.now);
     const outcome = await runStreamAttempt(host, {
       job,
       model: profile.model,
@@ -91,6 +100,8 @@
       progress,
       onProgress: (next) => {
         progress = next;
+        const isNews = detector.recordEvents(next.events - eventsBefore);
+        if (isNews) host.contents.recordHarmlessRun(job.content);
       },
       prepareMove: () =>
         attempt + 1 < MAX_ATTEMPTS ? prepareMove(entry) : 'attempts of the route',
@@ -99,10 +110,12 @@
     if (outcome.type === 'stopped') return;
     lastOutcome = outcome;
     if (outcome.type === 'unreached') {
-      host.registry.suspect(entry, 'unreached', outcome.detail);
+      const reason = outcome.isRefused === true ? 'refused' : 'unreached';
+      host.registry.suspect(entry, reason, outcome.detail);
       isRetrySpent = usedRetry;
     } else sentAttempts += 1;
     if (outcome.type === 'complete') {
+      host.contents.recordHarmlessRun(job.content);
       job.response.end();
       return;
     }
@@ -110,9 +123,13 @@
     if (outcome.type === 'not-run') backOffRefusingEngine(host, outcome.fault, entry);
     if (outcome.type === 'broken') {
       runServers.add(entry);
+      const isSuspicious = outcome.isLost === true && !detector.isHarmless();
+      if (isSuspicious && incarnation !== undefined) {
+        host.contents.recordLoss(incarnation, job.content);
+      }
+      void host.probes.ask(entry);
       if (!rule.isResumable) break;
       host.registry.backOff(entry, ENGINE_BACKOFF_MS);
-      void host.probes.ask(entry);
     }
   }
   // The caller may have left just after a move was prepared.
--- a/src/gateway/computeServiceQuietTime.ts
+++ b/src/gateway/computeServiceQuietTime.ts
@@ -1,6 +1,6 @@
 /** Computes for how long no backend server of a service wants requests. */
 
-import type { ServerRegistry } from './createServerRegistry';
+import type { ServerRegistry } from './serverRegistry';
 
 /** @returns milliseconds; 0 if the service has no servers or one of them takes requests */
 export function computeServiceQuietTime(
--- /dev/null
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -0,0 +1,158 @@
+import type { ListedServer } from '../chains/layerEngine';
+import { createListedServer } from '../chains/testEngine';
+import { createContentSuspicions } from './createContentSuspicions';
+
+const servers = ['a', 'b', 'c', 'd', 'e'].map((id) => createListedServer(id, { bornMs: 1 }));
+const [a, b, c] = servers as [ListedServer, ListedServer, ListedServer];
+
+function createVm() {
+  let nowMs = 0;
+  const lines: string[] = [];
+  let end: (server: ListedServer) => void = () => undefined;
+  let answer: (server: ListedServer) => void = () => undefined;
+  const suspicions = createContentSuspicions({
+    registry: {
+      onEnded: (listener) => {
+        end = listener;
+      },
+      onAnswer: (listener) => {
+        answer = listener;
+      },
+    },
+    now: () => nowMs,
+    log: (message) => lines.push(message),
+    count: () => undefined,
+  });
+  return {
+    ...suspicions,
+    lines,
+    end: (server: ListedServer) => {
+      end(server);
+    },
+    answer: (server: ListedServer) => {
+      answer(server);
+    },
+    crash: (server: ListedServer, ...contents: readonly string[]) => {
+      for (const content of contents) suspicions.recordLoss(server, content);
+      end(server);
+    },
+    setTime: (ms: number) => {
+      nowMs = ms;
+    },
+  };
+}
+
+describe('createContentSuspicions', () => {
+  it('refuses a content under which three servers have ended', () => {
+    const vm = createVm();
+    vm.crash(a, 'bad');
+    vm.crash(b, 'bad');
+    expect(vm.heldMs('bad')).toBe(0);
+    vm.crash(c, 'bad');
+    expect([vm.heldMs('bad') > 0, vm.heldMs('other')]).toEqual([true, 0]);
+    expect(vm.lines.filter((line) => line === 'content held back')).toHaveLength(1);
+  });
+
+  it('counts a server once, however many runs it lost', () => {
+    const vm = createVm();
+    vm.crash(a, 'bad', 'bad', 'bad');
+    expect(vm.heldMs('bad')).toBe(0);
+  });
+
+  it('counts a loss that is noticed after the end of its server', () => {
+    const vm = createVm();
+    vm.crash(a, 'bad');
+    vm.crash(b, 'bad');
+    vm.end(c);
+    vm.recordLoss(c, 'bad');
+    expect(vm.heldMs('bad')).toBeGreaterThan(0);
+  });
+
+  it('counts no loss whose server has not ended', () => {
+    const vm = createVm();
+    for (const server of servers) vm.recordLoss(server, 'sound');
+    expect(vm.heldMs('sound')).toBe(0);
+  });
+
+  it('counts no loss long before the end of its server', () => {
+    const vm = createVm();
+    for (const server of servers) vm.recordLoss(server, 'sound');
+    vm.setTime(3_000);
+    for (const server of servers) vm.end(server);
+    expect(vm.heldMs('sound')).toBe(0);
+  });
+
+  it('takes a crash back if the server answers', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'sound');
+    vm.answer(b);
+    expect([vm.heldMs('sound'), vm.lines.at(-1)]).toEqual([0, 'content cleared']);
+  });
+
+  it('clears a content that runs without harm of the crashes before', () => {
+    const vm = createVm();
+    vm.crash(a, 'sound');
+    vm.crash(b, 'sound');
+    vm.recordHarmlessRun('sound');
+    vm.setTime(2_500);
+    vm.crash(c, 'sound');
+    expect(vm.heldMs('sound')).toBe(0);
+  });
+
+  it('does not suspect a content that has just run without harm', () => {
+    const vm = createVm();
+    vm.recordHarmlessRun('sound');
+    vm.setTime(1_900);
+    for (const server of servers) vm.crash(server, 'sound');
+    expect(vm.heldMs('sound')).toBe(0);
+  });
+
+  it('adds up the crashes that several VMs saw, and counts a crash that two saw once', () => {
+    const [one, other] = [createVm(), createVm()];
+    one.crash(a, 'bad');
+    one.crash(b, 'bad');
+    other.crash(b, 'bad');
+    other.merge(one.takeReports(10));
+    expect(other.heldMs('bad')).toBe(0);
+    other.crash(c, 'bad');
+    one.merge(other.takeReports(10));
+    expect([one.heldMs('bad') > 0, other.heldMs('bad') > 0]).toEqual([true, true]);
+  });
+
+  it('clears a content on all VMs that one has seen run without harm', () => {
+    const [one, other] = [createVm(), createVm()];
+    for (const server of [a, b, c]) one.crash(server, 'sound');
+    other.merge(one.takeReports(10));
+    other.recordHarmlessRun('sound');
+    one.merge(other.takeReports(10));
+    expect([one.heldMs('sound'), other.heldMs('sound')]).toEqual([0, 0]);
+  });
+
+  it('holds a content back at a VM that has started since', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'bad');
+    vm.takeReports(10);
+    vm.setTime(1_000);
+    const started = createVm();
+    started.merge(vm.takeReports(10));
+    expect(started.heldMs('bad')).toBeGreaterThan(0);
+  });
+
+  it('reports what is new first, and repeats the rest after a while', () => {
+    const vm = createVm();
+    vm.crash(a, 'x', 'y');
+    expect(vm.takeReports(10).map(({ content }) => content)).toEqual(['x', 'y']);
+    expect(vm.takeReports(10)).toEqual([]);
+    vm.setTime(1_000);
+    vm.crash(b, 'y');
+    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['y']);
+    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['x']);
+  });
+
+  it('lets a content run again long after its last crash', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'bad');
+    vm.setTime(600_000);
+    expect(vm.heldMs('bad')).toBe(0);
+  });
+});
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -7,7 +7,7 @@
 import type { ServiceProfile } from '../catalog/catalog';
 import type { BackendProtocol, HealthResult, ReportResult } from './backendProtocol';
 import type { LogFields } from './job';
-import type { ServerRegistry } from './createServerRegistry';
+import type { ServerRegistry } from './serverRegistry';
 import type { ServerSuspicion } from './createSuspicions';
 import { createSharedQueries } from './createSharedQueries';
 import type { SharedQueries } from './createSharedQueries';
--- a/src/gateway/createServerRegistry.test.ts
+++ b/src/gateway/createServerRegistry.test.ts
@@ -1,7 +1,7 @@
 import { createListedServer as server } from '../chains/testEngine';
 import { testModel } from '../chains/testModel';
 import { createServerRegistry } from './createServerRegistry';
-import type { ServerRegistry } from './createServerRegistry';
+import type { ServerRegistry } from './serverRegistry';
 import { createFirstEventDelays } from './createFirstEventDelays';
 
 let nowMs = 0;
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -8,84 +8,13 @@
 import { createCrossDomainMeter } from './createCrossDomainMeter';
 import type { GatewayWork, ServerLoad } from './gatewayWork';
 import type { FirstEventDelays } from './createFirstEventDelays';
-import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
+import type { ChainEngine, ListedServer } from '../chains/layerEngine';
 import { createEngineReports } from './createEngineReports';
-import type { EngineCondition } from './createEngineReports';
 import { createServerNotices } from './createServerNotices';
-import type { ServerNotices } from './createServerNotices';
 import { createSuspicions } from './createSuspicions';
-import type { ServerSuspicion, SuspicionReason } from './createSuspicions';
+import type { SuspicionReason } from './createSuspicions';
 import type { LogFields } from './job';
-
-export interface Reservation {
-  readonly release: () => void;
-}
-
-export interface ServerRegistry extends Pick<ServerNotices, 'recordQuiet' | 'quietMs'> {
-  /** Replaces the list of backend servers. */
-  readonly list: (servers: readonly ListedServer[]) => void;
-  readonly servers: (service: string) => readonly ListedServer[];
-  readonly find: (id: string) => ListedServer | undefined;
-  readonly findByAddress: (address: string) => ListedServer | undefined;
-  /** Servers of a service that accept new requests: not draining, not suspected, not in back-off. */
-  readonly usableServers: (service: string) => readonly ListedServer[];
-  /**
-   * Servers of a service of which one may be tried because every server that accepts new requests is
-   * suspected: not draining, not in back-off; none while any of them is not suspected.
-   */
-  readonly lastResortServers: (service: string) => readonly ListedServer[];
-  readonly chainEngines: (service: string, model: PipelineModel) => readonly ChainEngine[];
-  /** Marks a server as suspected; notifies listeners unless it is suspected already. */
-  readonly suspect: (id: string, reason: SuspicionReason, detail?: string) => void;
-  readonly clearSuspicion: (id: string) => void;
-  readonly isSuspected: (id: string) => boolean;
-  readonly suspicions: () => readonly ServerSuspicion[];
-  /** Treats the server as draining, as its own reply says, until it is listed with another start. */
-  readonly recordLeaving: (id: string) => void;
-  /** Sends a server no new requests for `forMs`, without suspecting it. */
-  readonly backOff: (id: string, forMs: number) => void;
-  /** Stores an engine's own report. */
-  readonly recordReport: (id: string, report: EngineCondition) => void;
-  /** Whether a recent report of the engine is known. */
-  readonly hasRecentReport: (id: string) => boolean;
-  /** Records an event of a stream whose chain starts at this engine. */
-  readonly recordEvent: (id: string) => void;
-  /** Time of the last event of any stream whose chain starts there, monotonic, milliseconds. */
-  readonly lastEventMs: (id: string) => number;
-  /**
-   * Counts a request as load on the engines of a path.
-   *
-   * @param kept engines that already hold the request's state; nothing is transferred between them
-   */
-  readonly reserve: (
-    stages: readonly Stage[],
-    tokens: number,
-    kept?: ReadonlySet<string>,
-  ) => Reservation;
-  /**
-   * Share of the bandwidth between failure domains that activations use, over all VMs; above 1 if more is
-   * sent than fits.
-   */
-  readonly crossingShare: (model: PipelineModel) => number;
-  /** Number of hops of a path that lead to another failure domain. */
-  readonly countCrossDomainHops: (stages: readonly Stage[]) => number;
-  readonly ownWork: () => GatewayWork;
-  /**
-   * Stores the latest work of another VM, or the sum of several VMs, in place of the previous work of the
-   * same source.
-   */
-  readonly mergePeerWork: (source: string, work: GatewayWork) => void;
-  readonly removePeerWork: (source: string) => void;
-  readonly running: (id: string) => number;
-  /** Share of an engine's request memory that is reserved, over all VMs. */
-  readonly loadShare: (id: string, model: PipelineModel) => number;
-  /** Called when capacity or servers may have become available. */
-  readonly onChange: (listener: () => void) => void;
-  /** Called for a server that becomes suspected. */
-  readonly onSuspected: (listener: (id: string) => void) => void;
-  /** Called for a server that running streams should move off. */
-  readonly onLeaving: (listener: (id: string) => void) => void;
-}
+import type { ServerRegistry } from './serverRegistry';
 
 export interface ServerRegistryOptions {
   /** Monotonic clock, milliseconds. */
@@ -108,6 +37,9 @@
 
 const NO_LOAD: ServerLoad = { reserved: 0, running: 0 };
 
+/** Reasons that tell of the end of an incarnation, unless it answers again. */
+const END_REASONS: ReadonlySet<SuspicionReason> = new Set(['refused', 'restarted']);
+
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const { now, log, firstEventDelays, count = noop, callLater = noop } = options;
@@ -122,6 +54,8 @@
   const peerWork = new Map<string, { readonly work: GatewayWork; readonly atMs: number }>();
   const changeListeners: (() => void)[] = [];
   const suspicionListeners: ((id: string) => void)[] = [];
+  const endListeners: ((server: ListedServer) => void)[] = [];
+  const answerListeners: ((server: ListedServer) => void)[] = [];
   const leavingListeners: ((id: string) => void)[] = [];
 
   const crossDomainMeter = createCrossDomainMeter({
@@ -232,11 +166,16 @@
       }),
     suspect: (id, reason, detail) => {
       const server = listed.get(id);
-      if (server === undefined || !suspicions.raise(server, reason, detail)) return;
+      if (server === undefined) return;
+      if (END_REASONS.has(reason)) for (const listener of endListeners) listener(server);
+      if (!suspicions.raise(server, reason, detail)) return;
       for (const listener of suspicionListeners) listener(id);
     },
     clearSuspicion: (id) => {
-      if (suspicions.lift(id)) notifyChange();
+      if (!suspicions.lift(id)) return;
+      const server = listed.get(id);
+      if (server !== undefined) for (const listener of answerListeners) listener(server);
+      notifyChange();
     },
     isSuspected: suspicions.has,
     suspicions: suspicions.list,
@@ -295,6 +234,12 @@
     onSuspected: (listener) => {
       suspicionListeners.push(listener);
     },
+    onEnded: (listener) => {
+      endListeners.push(listener);
+    },
+    onAnswer: (listener) => {
+      answerListeners.push(listener);
+    },
     onLeaving: (listener) => {
       leavingListeners.push(listener);
     },
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -3,7 +3,8 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { RouteRule, ServiceProfile } from '../catalog/catalog';
 import type { BackendProtocol, RequestHead } from './backendProtocol';
-import type { ServerRegistry } from './createServerRegistry';
+import type { ContentSuspicions } from './createContentSuspicions';
+import type { ServerRegistry } from './serverRegistry';
 import type { RetryBudgets } from './createRetryBudgets';
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ServerProbes } from './createServerProbes';
@@ -44,6 +45,8 @@
 export interface GatewayHost {
   readonly protocol: BackendProtocol;
   readonly registry: ServerRegistry;
+  /** Contents that may have ended servers. */
+  readonly contents: ContentSuspicions;
   readonly retryBudgets: RetryBudgets;
   readonly probes: ServerProbes;
   readonly watch: StreamWatch;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -16,8 +16,11 @@
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
+import { shareContentSuspicions } from '../adapters/gateway/shareContentSuspicions';
 import type { Catalog, ServiceProfile } from '../catalog/catalog';
 import type { ClockReading } from '../catalog/confirmation';
+import { checkReportedServers } from '../gateway/checkReportedServers';
+import { createContentSuspicions } from '../gateway/createContentSuspicions';
 import { createServerRegistry } from '../gateway/createServerRegistry';
 import { createServerProbes } from '../gateway/createServerProbes';
 import { createFirstEventDelays } from '../gateway/createFirstEventDelays';
@@ -155,14 +158,9 @@
     self,
     registry,
     isAccepting,
-    onSuspected: (id, bornMs) => {
-      // Probes the server before trusting the peer's report: the peer itself may be partitioned.
-      const server = registry.find(id);
-      const isKnown = registry.suspicions().some((suspicion) => suspicion.id === id);
-      if (server?.bornMs === bornMs && !isKnown) void probes.check(id);
-    },
-    onRecovered: (id) => {
-      if (registry.suspicions().some((suspicion) => suspicion.id === id)) void probes.check(id);
+    ...checkReportedServers(registry, probes),
+    onDatagram: (datagram) => {
+      contentSharing.receive(datagram);
     },
     now,
     log: writeLog,
@@ -170,9 +168,12 @@
   // Streams of other VMs use the same engine. The announcement reaches those VMs before they can detect
   // a pause of their own streams.
   registry.onSuspected(peers.announceSoon);
+  const contents = createContentSuspicions({ registry, now, log: writeLog, count });
+  const contentSharing = shareContentSuspicions(contents, peers);
   const host: GatewayHost = {
     protocol,
     registry,
+    contents,
     retryBudgets: createRetryBudgets({
       limits: () => ({
         ratio: settings.retries.ratio,
@@ -287,6 +288,7 @@
         },
       );
       clearInterval(taskTimer);
+      contentSharing.close();
       peers.close();
       for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
       await Promise.race([released, new Promise((resolve) => setTimeout(resolve, 100))]);
