Send requests that end their servers in the fault soak

Some callers of the soak now send one lookup and one stream that end each server which begins to run them, from a random moment to the end of the run and at least until VMs must have learned. Counted is what reaches servers later than 3 s after the third end, from VMs that ran undisturbed for as long: more than three runs are a finding.

--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -8,7 +8,10 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { bundleDaemon } from './bundleDaemon';
+import { FATAL_KINDS } from './createFatalCallers';
+import type { FatalKind } from './createFatalCallers';
 import { runFaultSoak } from './runFaultSoak';
+import type { FaultSoakOptions } from './runFaultSoak';
 import { SOAK_CASES } from './soakCases';
 
 async function main(): Promise<void> {
@@ -21,6 +24,11 @@
         describe: 'range of seeds FROM..TO, both included; one run per seed',
       },
       faults: { type: 'number', default: 16, describe: 'number of faults per run' },
+      fatal: {
+        type: 'boolean',
+        default: true,
+        describe: 'also send requests that end each server which runs them',
+      },
       cases: {
         type: 'boolean',
         default: false,
@@ -29,7 +37,9 @@
     })
     .strict()
     .parseAsync();
-  const runs = argv.cases ? SOAK_CASES : listRuns(argv.seeds, argv.faults);
+  const runs = argv.cases
+    ? SOAK_CASES
+    : listRuns(argv.seeds, argv.faults, argv.fatal ? FATAL_KINDS : []);
   const program = await bundleDaemon();
   const failed: number[] = [];
   for (const run of runs) {
@@ -47,12 +57,17 @@
 function listRuns(
   seeds: string,
   faults: number,
-): readonly { readonly seed: number; readonly faults: number }[] {
+  fatalKinds: readonly FatalKind[],
+): readonly Omit<FaultSoakOptions, 'program'>[] {
   const [from, to] = seeds.split('..').map(Number);
   if (from === undefined || to === undefined || !(to >= from)) {
     throw new RangeError('--seeds must have the form FROM..TO, with FROM not above TO');
   }
-  return Array.from({ length: to - from + 1 }, (_, index) => ({ seed: from + index, faults }));
+  return Array.from({ length: to - from + 1 }, (_, index) => ({
+    seed: from + index,
+    faults,
+    fatalKinds,
+  }));
 }
 
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
--- a/measurements/faultSoak/runFaultSoak.test.ts
+++ b/measurements/faultSoak/runFaultSoak.test.ts
@@ -1,6 +1,7 @@
 import { rmSync } from 'node:fs';
 import { dirname } from 'node:path';
 import { bundleDaemon } from './bundleDaemon';
+import { FATAL_KINDS } from './createFatalCallers';
 import { runFaultSoak } from './runFaultSoak';
 import { SOAK_CASES } from './soakCases';
 
@@ -20,6 +21,18 @@
     MAX_RUN_MS,
   );
 
+  it(
+    'keeps every guarantee while requests end the servers that run them (seed 2)',
+    async () => {
+      const program = await bundleDaemon();
+      const run = await runFaultSoak({ seed: 2, faults: 6, program, fatalKinds: FATAL_KINDS });
+      rmSync(dirname(program), { recursive: true });
+      expect(run.findings).toEqual([]);
+      expect(run.served).toBeGreaterThan(0);
+    },
+    MAX_RUN_MS,
+  );
+
   it.each(SOAK_CASES.filter(({ isInSuite }) => isInSuite))(
     'keeps every guarantee in a run that has failed (seed $seed, $faults faults)',
     async ({ seed, faults }) => {
--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -14,6 +14,8 @@
 import { DEADLINE_MS, sendRequest } from '../../platform/standins/sendRequest';
 import type { CallerRequestKind } from '../../platform/standins/sendRequest';
 import { createStream } from '../../platform/standins/createStream';
+import { createFatalCallers, isFatalRequest } from './createFatalCallers';
+import type { FatalKind } from './createFatalCallers';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
 import type { SoakLedger } from './soakLedger';
@@ -26,6 +28,8 @@
   readonly faults: number;
   /** Path of the bundled daemon. */
   readonly program: string;
+  /** Kinds of requests of which some end each server that runs them. */
+  readonly fatalKinds?: readonly FatalKind[];
 }
 
 export interface FaultSoakRun {
@@ -45,34 +49,46 @@
 /** Limit for the system to serve every kind of request while no fault is active. */
 const MAX_RECOVERY_MS = 30_000;
 
+/** Keeps the seeds of fatal requests apart from those of faults and sound requests. */
+const FATAL_SEED_OFFSET = 1_000_000;
+
 const REQUEST_KINDS: readonly CallerRequestKind[] = ['stream', 'stream', 'once', 'lookup'];
 
 /** Runs the faults and the requests that the seed determines. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakRun> {
-  const random = createRandom(options.seed);
+  const { seed, fatalKinds = [] } = options;
+  const random = createRandom(seed);
   const ledger = createSoakLedger({
     layers: LAYERS,
     limits: ROUTE_LIMITS,
     streamBody: (requestId) => createStream(requestId).events.join(''),
   });
+  const fatalCallers = fatalKinds.map((kind, index) =>
+    createFatalCallers(kind, ledger, seed + FATAL_SEED_OFFSET + index),
+  );
   const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
   const site = await startSoakSite({
     folder,
     program: options.program,
     serverHooks: {
-      onRun: ledger.recordRun,
+      isFatal: isFatalRequest,
+      onRun: (...run) => {
+        ledger.recordRun(...run);
+        for (const { recordRun } of fatalCallers) recordRun(run[0]);
+      },
       onRunEnded: ledger.recordRunEnd,
       onStages: ledger.recordStages,
       onConnectionsLost: ledger.recordLostConnections,
     },
   });
-  const caller = createCaller(site, ledger, options.seed);
+  const caller = createCaller(site, ledger, seed);
   const findings: string[] = [];
   if (!(await caller.waitUntilServing(MAX_RECOVERY_MS)))
     findings.push('nothing was served before the faults');
   const faults: string[] = [];
   const reverts: Promise<void>[] = [];
   const traffic = caller.start(random.integer(1_000_000));
+  const fatalTraffic = fatalCallers.map(({ start }) => start(site));
   for (let count = 0; count < options.faults; count += 1) {
     const name = random.pick(Object.keys(SOAK_FAULTS));
     const revertFault = SOAK_FAULTS[name]?.(site, random);
@@ -81,17 +97,17 @@
     await sleep(random.exponential(MEAN_FAULT_GAP_MS));
   }
   await Promise.all(reverts);
-  await traffic.stop();
+  await Promise.all([traffic, ...fatalTraffic].map(({ stop }) => stop()));
   if (!(await caller.waitUntilServing(MAX_RECOVERY_MS)))
     findings.push('nothing was served after the faults');
   await sleep(DEADLINE_MS);
-  findings.push(...ledger.findings());
+  findings.push(...ledger.findings(), ...fatalCallers.flatMap((callers) => callers.findings()));
   findings.push(...site.gateways.flatMap((gateway) => gateway.unexpectedExits()));
   for (const part of [...site.gateways, ...site.engines, site.store]) part.close();
   rmSync(folder, { recursive: true });
   const log = findings.length === 0 ? [] : site.gateways.flatMap((gateway) => gateway.log());
   return {
-    seed: options.seed,
+    seed,
     faults,
     sent: caller.sent(),
     served: ledger.served(),
