Log the shared parts of a stream's prompt

A part of prompts that ends engines comes in requests that are never alike, so the log of the incident could not say whether the streams that an engine lost had a part in common. No decision changes.

--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -182,6 +182,7 @@
   host.log('stream attempt', {
     id: job.head.id,
     content: job.content,
+    parts: job.head.sharedParts.join(' '),
     end: outcome.type,
     detail: 'detail' in outcome ? outcome.detail : undefined,
     fault: outcome.type === 'not-run' ? outcome.fault : undefined,
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -16,6 +16,8 @@
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
   readonly promptTokens: number;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedParts: readonly string[];
   /** Maximum number of tokens in the answer. */
   readonly maxAnswerTokens: number;
   /** The caller's estimate of the number of tokens in the answer. */
