Refuse prompts with a part under which engines end

Callers lost streams by the hundred: each request with a harmful part ended the engine that began to answer it, and our own retry a second one.

A run now counts against all that its request holds: the request, and each part that others may share. Whoever is on an engine as it ends is counted too, so the decision (`findCulprits`, pure) takes the contents that explain most crashes first; the others are suspects only for crashes of their own. Contents that ran on the same engines, as a harmful part and the first part of its application do, can't be told apart: only requests with all of them are refused, and one that holds only some runs and shows which is harmless. Four ends are the limit of a part, three that of a request.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { authorize } from '../../catalog/authorize';
 import type { AnswerForm, Catalog, RouteRule, ServiceProfile } from '../../catalog/catalog';
+import { listContents } from '../../crashes/listContents';
 import { matchRoute } from '../../catalog/matchRoute';
 import { pickService } from '../../catalog/pickService';
 import { fingerprint } from '../../hashing/fingerprint';
@@ -120,7 +121,7 @@
     const workspace = access.credential?.workspace;
     const { body } = read;
     const job = createJob({ request, response, rule, profile, workspace, arrivedMs, body });
-    const heldMs = host.contents.heldMs(job.content);
+    const heldMs = host.contents.heldMs(job.contents);
     if (heldMs > 0) {
       refuse(request, response, 'held-back', { retryAfterMs: heldMs });
       return;
@@ -161,7 +162,11 @@
     const head = host.protocol.readRequest(request.headers);
     const { method = 'GET', url = '/', headers } = request;
     const bodyText = body?.toString('latin1');
-    const content = fingerprint([headers.host, method, url, workspace, bodyText]);
+    const content = fingerprint([headers.host, method, url, workspace, bodyText]).slice(
+      0,
+      CONTENT_CHARS,
+    );
+    const { sharedParts } = head;
     const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, rule.timeoutMs);
     return {
       head,
@@ -173,7 +178,8 @@
       path: url,
       headers,
       body,
-      content: content.slice(0, CONTENT_CHARS),
+      content,
+      contents: listContents({ request: content, service: profile.name, sharedParts }),
       response,
       arrivedMs,
       isRetry: retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -89,16 +89,16 @@
     }
     if (outcome.type === 'answered') {
       host.registry.clearSuspicion(server.id);
-      host.contents.recordHarmlessRun(job.content);
+      host.contents.recordHarmlessRun(job.contents);
       fallback = outcome.reply;
       failures += 1;
       if (!isServerFailure(outcome.reply.status) || failures >= CONFIRMED_FAILURES) break;
     }
     if (outcome.type === 'unknown' && outcome.isLost) {
-      host.contents.recordLoss(server, job.content);
+      host.contents.recordLoss(server, job.contents);
       void host.probes.check(server.id);
     }
-    if (!rule.isIdempotent || host.contents.heldMs(job.content) > 0) break;
+    if (!rule.isIdempotent || host.contents.heldMs(job.contents) > 0) break;
   }
   if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
--- /dev/null
+++ b/src/crashes/findCulprits.test.ts
@@ -0,0 +1,62 @@
+import type { ContentTally } from './contentTally';
+import { findCulprits } from './findCulprits';
+
+const limitOf = (): { maxCrashes: number; validMs: number } => ({ maxCrashes: 3, validMs: 1_000 });
+
+const tally = (servers: string, disproved = ''): ContentTally => ({
+  servers: servers.split(''),
+  disproved: disproved.split(''),
+  crashes: servers.length,
+  lastCrashAtMs: 0,
+});
+
+const find = (
+  tallies: Readonly<Record<string, ContentTally>>,
+  atMs = 10,
+): readonly (readonly string[])[] =>
+  findCulprits(Object.entries(tallies), limitOf, atMs).map(({ contents }) => contents);
+
+describe('findCulprits', () => {
+  it('finds the content that ran on all servers that crashed', () => {
+    expect(find({ bad: tally('abcde'), sound: tally('abd'), other: tally('ce') })).toEqual([
+      ['bad'],
+    ]);
+  });
+
+  it('finds none below the limit', () => {
+    expect(find({ one: tally('ab'), other: tally('cd') })).toEqual([]);
+  });
+
+  it('keeps contents together that ran on the same servers', () => {
+    expect(find({ first: tally('abcd'), bad: tally('abcd') })).toEqual([['first', 'bad']]);
+  });
+
+  it('keeps a content with one more crash together with the others', () => {
+    expect(find({ first: tally('abcdx'), bad: tally('abcd') })).toEqual([['first', 'bad']]);
+  });
+
+  it('tells contents apart once one leads by two', () => {
+    expect(find({ first: tally('abcd'), bad: tally('abcdef') })).toEqual([['bad']]);
+  });
+
+  it('leaves out crashes that were disproved', () => {
+    expect(find({ first: tally('abcd', 'abcd'), bad: tally('abcd') })).toEqual([['bad']]);
+  });
+
+  it('finds two harmful contents with crashes of their own', () => {
+    expect(find({ bad: tally('abcd'), worse: tally('efghi') })).toEqual([['worse'], ['bad']]);
+  });
+
+  it('does not count crashes for longer than they are valid', () => {
+    expect(find({ bad: tally('abcd') }, 1_000)).toEqual([]);
+  });
+
+  it('applies the limit of each content', () => {
+    const limits = (content: string): { maxCrashes: number; validMs: number } => ({
+      maxCrashes: content === 'part' ? 4 : 3,
+      validMs: 1_000,
+    });
+    const tallies = Object.entries({ part: tally('abc'), request: tally('efg') });
+    expect(findCulprits(tallies, limits, 0).map(({ contents }) => contents)).toEqual([['request']]);
+  });
+});
--- /dev/null
+++ b/src/crashes/findCulprits.ts
@@ -0,0 +1,83 @@
+/**
+ * Finds the contents that have caused crashes, among all that ran on the servers that crashed. A harmful content
+ * explains most crashes; what else ran on the same servers is explained by it, unless it has enough crashes of
+ * its own. Contents that explain the same crashes can't be told apart: only requests that hold all of them are
+ * refused, so a request that holds some shows which it is.
+ */
+
+import type { ContentTally } from './contentTally';
+import type { CrashLimit } from './crashTally';
+import { hasCrashedTooOften } from './hasCrashedTooOften';
+import { listOpenCrashes } from './listOpenCrashes';
+
+/** Contents of which at least one is harmful; a request is refused if it holds all of them. */
+export interface Culprits {
+  readonly contents: readonly string[];
+  /** Incarnations of the servers that have crashed. */
+  readonly servers: readonly string[];
+  /** Time until which the crashes count, milliseconds. */
+  readonly untilMs: number;
+}
+
+/** Crashes by which a content must lead another to be told apart: one may be due to something else. */
+const CLEAR_LEAD = 2;
+
+interface Candidate {
+  readonly content: string;
+  readonly servers: readonly string[];
+  readonly limit: CrashLimit;
+  readonly lastCrashAtMs: number;
+}
+
+/**
+ * @param tallies crashes by content
+ * @param limitOf the limit of a content
+ * @param atMs the current time
+ */
+export function findCulprits(
+  tallies: Iterable<readonly [string, ContentTally]>,
+  limitOf: (content: string) => CrashLimit,
+  atMs: number,
+): readonly Culprits[] {
+  let candidates = rankRefused(
+    [...tallies].map(([content, tally]): Candidate => {
+      const { lastCrashAtMs } = tally;
+      return { content, servers: listOpenCrashes(tally), limit: limitOf(content), lastCrashAtMs };
+    }),
+    atMs,
+  );
+  const found: Culprits[] = [];
+  for (let [lead] = candidates; lead !== undefined; [lead] = candidates) {
+    const { servers } = lead;
+    const group = candidates.filter((other) => isAlike(servers, other.servers));
+    found.push({
+      contents: group.map(({ content }) => content),
+      servers,
+      untilMs: Math.max(...group.map(({ lastCrashAtMs, limit }) => lastCrashAtMs + limit.validMs)),
+    });
+    const explained = new Set(group.flatMap((member) => member.servers));
+    const rest = candidates.map((other) => ({
+      ...other,
+      servers: other.servers.filter((server) => !explained.has(server)),
+    }));
+    candidates = rankRefused(rest, atMs);
+  }
+  return found;
+}
+
+/** Selects the contents that would be refused by themselves, those with most crashes first. */
+function rankRefused(candidates: readonly Candidate[], atMs: number): readonly Candidate[] {
+  return candidates
+    .filter((candidate) => isRefused(candidate, atMs))
+    .sort((one, other) => other.servers.length - one.servers.length);
+}
+
+function isRefused({ servers, limit, lastCrashAtMs }: Candidate, atMs: number): boolean {
+  return hasCrashedTooOften({ servers, crashes: servers.length, lastCrashAtMs }, limit, atMs);
+}
+
+/** Whether a content explains about the crashes that the leading one does. */
+function isAlike(leading: readonly string[], servers: readonly string[]): boolean {
+  const common = servers.filter((server) => leading.includes(server));
+  return leading.length - common.length < CLEAR_LEAD;
+}
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -25,15 +25,29 @@
   });
   return {
     ...suspicions,
+    heldMs: (content: string): number => suspicions.heldMs([`request:${content}`]),
+    recordHarmlessRun: (content: string) => {
+      suspicions.recordHarmlessRun([`request:${content}`]);
+    },
+    recordLoss: (server: ListedServer, content: string) => {
+      suspicions.recordLoss(server, [`request:${content}`]);
+    },
     lines,
     end: (server: ListedServer) => {
       end(server);
     },
+    heldMsOf: suspicions.heldMs,
+    recordHarmlessRunOf: suspicions.recordHarmlessRun,
+    /** Ends a server that loses one run for each list of contents. */
+    crashAll: (server: ListedServer, ...runs: readonly (readonly string[])[]) => {
+      for (const contents of runs) suspicions.recordLoss(server, contents);
+      end(server);
+    },
     answer: (server: ListedServer) => {
       answer(server);
     },
     crash: (server: ListedServer, ...contents: readonly string[]) => {
-      for (const content of contents) suspicions.recordLoss(server, content);
+      for (const content of contents) suspicions.recordLoss(server, [`request:${content}`]);
       end(server);
     },
     setTime: (ms: number) => {
@@ -141,12 +155,53 @@
   it('reports what is new first, and repeats the rest after a while', () => {
     const vm = createVm();
     vm.crash(a, 'x', 'y');
-    expect(vm.takeReports(10).map(({ content }) => content)).toEqual(['x', 'y']);
+    expect(vm.takeReports(10).map(({ content }) => content)).toEqual(['request:x', 'request:y']);
     expect(vm.takeReports(10)).toEqual([]);
     vm.setTime(1_000);
     vm.crash(b, 'y');
-    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['y']);
-    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['x']);
+    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['request:y']);
+    expect(vm.takeReports(1).map(({ content }) => content)).toEqual(['request:x']);
+  });
+
+  describe('with parts of prompts', () => {
+    const FIRST = 'part:s:first';
+    const BAD = 'part:s:bad';
+    const hold = (vm: ReturnType<typeof createVm>): void => {
+      servers.slice(0, 4).forEach((server, index) => {
+        vm.crashAll(server, [`request:${index}`, FIRST, BAD]);
+      });
+    };
+
+    it('refuses requests with a part under which four servers have ended', () => {
+      const vm = createVm();
+      hold(vm);
+      expect(vm.heldMsOf(['request:new', FIRST, BAD])).toBeGreaterThan(0);
+    });
+
+    it('refuses no request with only some of the parts that can’t be told apart', () => {
+      const vm = createVm();
+      hold(vm);
+      expect(vm.heldMsOf(['request:new', FIRST])).toBe(0);
+      expect(vm.heldMsOf(['request:new', BAD])).toBe(0);
+    });
+
+    it('refuses each request with the part once the others have run without harm', () => {
+      const vm = createVm();
+      hold(vm);
+      vm.recordHarmlessRunOf(['request:new', FIRST]);
+      expect(vm.heldMsOf(['request:other', BAD])).toBeGreaterThan(0);
+      expect(vm.heldMsOf(['request:other', FIRST])).toBe(0);
+    });
+
+    it('does not suspect sound parts of streams that ran beside', () => {
+      const vm = createVm();
+      for (const server of servers.slice(0, 4)) {
+        const { id } = server;
+        vm.crashAll(server, [`request:bad-${id}`, BAD], [`request:sound-${id}`, `part:s:${id}`]);
+      }
+      expect(vm.heldMsOf(['request:new', BAD])).toBeGreaterThan(0);
+      expect(vm.heldMsOf(['request:new', 'part:s:a', 'part:s:b'])).toBe(0);
+    });
   });
 
   it('lets a content run again long after its last crash', () => {
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -1,16 +1,17 @@
 /**
  * Keeps which contents may be the cause of crashes, from this VM's own runs and from the other VMs' reports,
- * and says which are refused. A run counts against its contents if its connection was lost before it had shown
- * that they do no harm, and its server has ended. A content that runs without a crash is cleared of those
- * before: one that ends servers ends each server that begins to run it.
+ * and says which requests are refused. A run counts against its contents if its connection was lost before it
+ * had shown that they do no harm, and its server has ended. A content that runs without a crash is cleared of
+ * those before: one that ends servers ends each server that begins to run it.
  */
 
 import { Map as ImmutableMap } from 'immutable';
 import { LRUCache } from 'lru-cache';
 import { addCrash } from '../crashes/addCrash';
+import { crashLimitOf } from '../crashes/crashLimitOf';
 import type { ContentReport, ContentTally } from '../crashes/contentTally';
-import type { CrashLimit } from '../crashes/crashTally';
-import { hasCrashedTooOften } from '../crashes/hasCrashedTooOften';
+import type { Culprits } from '../crashes/findCulprits';
+import { findCulprits } from '../crashes/findCulprits';
 import { joinContentTally } from '../crashes/joinContentTally';
 import { listOpenCrashes } from '../crashes/listOpenCrashes';
 import { pruneCrashTallies } from '../crashes/pruneCrashTallies';
@@ -25,12 +26,12 @@
 }
 
 export interface ContentSuspicions {
-  /** Time for which a request with the content is refused, milliseconds; 0 if it may run. */
-  readonly heldMs: (content: string) => number;
+  /** Time for which a request with these contents is refused, milliseconds; 0 if it may run. */
+  readonly heldMs: (contents: readonly string[]) => number;
   /** Records a run whose connection the server lost. */
-  readonly recordLoss: (server: ServerIncarnation, content: string) => void;
-  /** Records that the content has run without ending its server. */
-  readonly recordHarmlessRun: (content: string) => void;
+  readonly recordLoss: (server: ServerIncarnation, contents: readonly string[]) => void;
+  /** Records that a request with these contents has run without ending its server. */
+  readonly recordHarmlessRun: (contents: readonly string[]) => void;
   /** Joins what another VM reports. */
   readonly merge: (reports: readonly ContentReport[]) => void;
   /** Takes the reports that are due to be sent: new ones first, the others once in a while. */
@@ -48,12 +49,6 @@
   readonly count: (counter: string, label?: string) => void;
 }
 
-/**
- * Two servers can end under a sound request that follows a harmful one to its second server; contents are
- * refused for long, since each further trial costs a server.
- */
-const LIMIT: CrashLimit = { maxCrashes: 3, validMs: 600_000 };
-
 /** Time within which a loss and the end of its server belong together, milliseconds. */
 const LOSS_VALID_MS = 3_000;
 
@@ -63,6 +58,9 @@
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
+/** Time for which crashes are kept, milliseconds; no content is refused for longer. */
+const TALLY_VALID_MS = 600_000;
+
 /** Time for which a content is reported that was cleared of all crashes. */
 const CLEARED_KEPT_MS = 10_000;
 
@@ -75,7 +73,7 @@
 
 interface Loss {
   readonly server: string;
-  readonly content: string;
+  readonly contents: readonly string[];
   readonly atMs: number;
 }
 
@@ -83,6 +81,7 @@
 export function createContentSuspicions(options: ContentSuspicionsOptions): ContentSuspicions {
   const { registry, now, log, count } = options;
   let tallies: ImmutableMap<string, ContentTally> = ImmutableMap();
+  let culprits: readonly Culprits[] = [];
   let losses: readonly Loss[] = [];
   const endedMs = new LRUCache<string, number>({ max: MAX_LOSSES });
   const harmlessMs = new LRUCache<string, number>({ max: MAX_HARMLESS_CONTENTS });
@@ -91,37 +90,34 @@
 
   const isRecent = (atMs: number | undefined, validMs: number): boolean =>
     atMs !== undefined && now() - atMs < validMs;
-  const computeHeldMs = (tally: ContentTally | undefined): number => {
-    if (tally === undefined) return 0;
-    const open = { ...tally, crashes: listOpenCrashes(tally).length };
-    if (!hasCrashedTooOften(open, LIMIT, now())) return 0;
-    return tally.lastCrashAtMs + LIMIT.validMs - now();
-  };
   const getReportedMs = (content: string): number => reportedMs.get(content) ?? NEVER_MS;
   const store = (content: string, tally: ContentTally): void => {
     const before = tallies.get(content);
     if (before === tally) return;
-    const bounds = { maxTallies: MAX_CONTENTS, validMs: LIMIT.validMs };
-    tallies = (before === undefined ? pruneCrashTallies(tallies, now(), bounds) : tallies).set(
-      content,
-      tally,
-    );
+    const bounds = { maxTallies: MAX_CONTENTS, validMs: TALLY_VALID_MS };
+    const kept = before === undefined ? pruneCrashTallies(tallies, now(), bounds) : tallies;
+    tallies = kept.set(content, tally);
     reportedMs.delete(content);
-    logChange(content, before, tally);
     for (const listener of listeners) listener();
   };
-  const logChange = (
-    content: string,
-    before: ContentTally | undefined,
-    tally: ContentTally,
-  ): void => {
-    const wasHeld = computeHeldMs(before) > 0;
-    const heldMs = Math.round(computeHeldMs(tally));
-    const crashes = listOpenCrashes(tally).length;
-    if (!wasHeld && heldMs > 0) {
+  const updateCulprits = (): void => {
+    const before = culprits;
+    culprits = findCulprits(tallies, crashLimitOf, now());
+    const formerly = new Set(before.map(formatContents));
+    const currently = new Set(culprits.map(formatContents));
+    for (const group of culprits) {
+      if (formerly.has(formatContents(group))) continue;
       count('contents_held_back');
-      log('content held back', { content, crashes, servers: tally.servers.join(' '), heldMs });
-    } else if (wasHeld && heldMs <= 0) log('content cleared', { content, crashes });
+      log('content held back', {
+        contents: formatContents(group),
+        servers: group.servers.join(' '),
+        heldMs: Math.round(group.untilMs - now()),
+      });
+    }
+    for (const group of before) {
+      if (!currently.has(formatContents(group)))
+        log('content cleared', { contents: formatContents(group) });
+    }
   };
   const disprove = (content: string, servers: readonly string[]): void => {
     const tally = tallies.get(content);
@@ -140,17 +136,20 @@
   const attribute = (server: string, content: string): void => {
     if (isRecent(harmlessMs.get(content), HARMLESS_VALID_MS)) return;
     const known = tallies.get(content);
-    const tally = addCrash(known, server, now(), LIMIT);
+    const tally = addCrash(known, server, now(), { validMs: TALLY_VALID_MS });
     if (tally === known) return;
-    log('content suspected', { content, server, crashes: tally.crashes });
     const disproved = tally.crashes === 1 ? [] : (known?.disproved ?? []);
     store(content, { ...tally, disproved });
   };
+  const attributeAll = (server: string, contents: readonly string[]): void => {
+    log('content suspected', { contents: contents.join(' '), server });
+    for (const content of contents) attribute(server, content);
+  };
   const removeOutdated = (): void => {
     const isOutdated = (tally: ContentTally): boolean => {
       const ageMs = now() - tally.lastCrashAtMs;
       const isCleared = listOpenCrashes(tally).length === 0;
-      return ageMs >= (isCleared ? CLEARED_KEPT_MS : LIMIT.validMs);
+      return ageMs >= (isCleared ? CLEARED_KEPT_MS : TALLY_VALID_MS);
     };
     for (const [content, tally] of tallies) {
       if (!isOutdated(tally)) continue;
@@ -164,9 +163,10 @@
     endedMs.set(server, now());
     const own = losses.filter((loss) => loss.server === server);
     losses = losses.filter((loss) => loss.server !== server);
-    for (const { content, atMs } of own) {
-      if (isRecent(atMs, LOSS_VALID_MS)) attribute(server, content);
+    for (const { contents, atMs } of own) {
+      if (isRecent(atMs, LOSS_VALID_MS)) attributeAll(server, contents);
     }
+    if (own.length > 0) updateCulprits();
   });
   registry.onAnswer((incarnation) => {
     const server = formatIncarnation(incarnation);
@@ -174,21 +174,31 @@
     for (const [content, { servers }] of tallies) {
       if (servers.includes(server)) disprove(content, [server]);
     }
+    updateCulprits();
   });
 
   return {
-    heldMs: (content) => computeHeldMs(tallies.get(content)),
-    recordLoss: (incarnation, content) => {
+    heldMs: (contents) => {
+      const held = culprits.filter((group) =>
+        group.contents.every((one) => contents.includes(one)),
+      );
+      return Math.max(0, ...held.map(({ untilMs }) => untilMs - now()));
+    },
+    recordLoss: (incarnation, contents) => {
       const server = formatIncarnation(incarnation);
-      if (isRecent(endedMs.get(server), LOSS_VALID_MS)) attribute(server, content);
-      else {
+      if (isRecent(endedMs.get(server), LOSS_VALID_MS)) {
+        attributeAll(server, contents);
+        updateCulprits();
+      } else {
         const recent = losses.filter(({ atMs }) => isRecent(atMs, LOSS_VALID_MS));
-        losses = [...recent.slice(1 - MAX_LOSSES), { server, content, atMs: now() }];
+        losses = [...recent.slice(1 - MAX_LOSSES), { server, contents, atMs: now() }];
       }
     },
-    recordHarmlessRun: (content) => {
-      harmlessMs.set(content, now());
-      disproveIfHarmless(content);
+    recordHarmlessRun: (contents) => {
+      for (const content of contents) harmlessMs.set(content, now());
+      if (!contents.some((content) => tallies.has(content))) return;
+      for (const content of contents) disproveIfHarmless(content);
+      updateCulprits();
     },
     merge: (reports) => {
       for (const report of reports) {
@@ -196,6 +206,7 @@
         store(content, joinContentTally(tallies.get(content), report, now()));
         disproveIfHarmless(content);
       }
+      updateCulprits();
     },
     takeReports: (limit) => {
       removeOutdated();
@@ -220,3 +231,7 @@
 function formatIncarnation({ id, bornMs }: ServerIncarnation): string {
   return `${id}/${bornMs}`;
 }
+
+function formatContents({ contents }: Culprits): string {
+  return contents.toSorted().join(' ');
+}
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -23,6 +23,8 @@
   readonly body: Buffer | undefined;
   /** Fingerprint of what a repeated request has in common with the first: its caller, path and body. */
   readonly content: string;
+  /** All that it has in common with requests that may end servers, `content` among it. */
+  readonly contents: readonly string[];
   readonly response: ServerResponse;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
