Work out the contents that are refused only when crashes change

Each datagram had the decision made anew, also when it held nothing new, and reports of single crashes could crowd out those of contents near their limit. The decision is made again only after a change, and reports with most crashes are sent first.

--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -34,7 +34,7 @@
   readonly recordHarmlessRun: (contents: readonly string[]) => void;
   /** Joins what another VM reports. */
   readonly merge: (reports: readonly ContentReport[]) => void;
-  /** Takes the reports that are due to be sent: new ones first, the others once in a while. */
+  /** Takes the reports that are due to be sent: new ones first, most crashes first; others once in a while. */
   readonly takeReports: (limit: number) => readonly ContentReport[];
   /** Called when there is something new to report. */
   readonly onNews: (listener: () => void) => void;
@@ -82,6 +82,8 @@
   const { registry, now, log, count } = options;
   let tallies: ImmutableMap<string, ContentTally> = ImmutableMap();
   let culprits: readonly Culprits[] = [];
+  /** Whether `culprits` follows from the tallies as they are. */
+  let areCulpritsKnown = true;
   let losses: readonly Loss[] = [];
   const endedMs = new LRUCache<string, number>({ max: MAX_LOSSES });
   const harmlessMs = new LRUCache<string, number>({ max: MAX_HARMLESS_CONTENTS });
@@ -98,9 +100,12 @@
     const kept = before === undefined ? pruneCrashTallies(tallies, now(), bounds) : tallies;
     tallies = kept.set(content, tally);
     reportedMs.delete(content);
+    areCulpritsKnown = false;
     for (const listener of listeners) listener();
   };
   const updateCulprits = (): void => {
+    if (areCulpritsKnown) return;
+    areCulpritsKnown = true;
     const before = culprits;
     culprits = findCulprits(tallies, crashLimitOf, now());
     const formerly = new Set(before.map(formatContents));
@@ -153,6 +158,7 @@
     };
     for (const [content, tally] of tallies) {
       if (!isOutdated(tally)) continue;
+      areCulpritsKnown = false;
       tallies = tallies.remove(content);
       reportedMs.delete(content);
     }
@@ -210,9 +216,13 @@
     },
     takeReports: (limit) => {
       removeOutdated();
+      updateCulprits();
       const due = [...tallies]
         .filter(([content]) => !isRecent(reportedMs.get(content), REPORT_INTERVAL_MS))
-        .sort(([one], [other]) => getReportedMs(one) - getReportedMs(other))
+        .sort(
+          ([one, { crashes }], [other, { crashes: otherCrashes }]) =>
+            getReportedMs(one) - getReportedMs(other) || otherCrashes - crashes,
+        )
         .slice(0, limit);
       for (const [content] of due) reportedMs.set(content, now());
       return due.map(([content, { servers, disproved, lastCrashAtMs }]) => ({
