Take no reply without a length for a run without harm

An answer, a stream too, may come with neither a length nor chunks and end with its connection. If its server ends at the end of an event, it looks whole; the run then cleared its contents of all crashes, and a part that ends engines would never be refused. Only replies that state where they end clear contents by their end; streams still do by running on.

Two tests play such streams: one that ends after an event is whole, one that ends inside an event was broken off and is resumed.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -4,6 +4,7 @@
 import type { ListedServer } from '../../chains/layerEngine';
 import type { ReplyHead } from '../../gateway/backendProtocol';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { isFramed } from './isFramed';
 import { openExchange } from './openExchange';
 import { readReplyBody } from './readReplyBody';
 import { recordReplyNotices } from './recordReplyNotices';
@@ -13,6 +14,8 @@
   readonly status: number;
   readonly headers: OutgoingHttpHeaders;
   readonly body: Buffer;
+  /** Whether it stated where it ends. */
+  readonly isFramed: boolean;
 }
 
 export type CallOutcome =
@@ -109,7 +112,8 @@
   }
   if (head.isLeaving) host.registry.recordLeaving(server.id);
   const headers = protocol.replyHeaders(reply.headers);
-  return { type: 'answered', reply: { status, headers, body: read.body } };
+  const { body } = read;
+  return { type: 'answered', reply: { status, headers, body, isFramed: isFramed(reply) } };
 }
 
 /** Why a reply cannot be forwarded; undefined if it can. */
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -4,7 +4,7 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import { findStreamChain } from './findStreamChain';
 import { refuseJob } from './refuseJob';
-import type { AttemptOutcome } from './runStreamAttempt';
+import type { AttemptOutcome } from './attemptOutcome';
 
 /** Delays before the caller may retry where all chains are full, and where no chain exists. */
 const FULL_RETRY_MS = 2_500;
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -10,6 +10,7 @@
 import { createEventSplitter } from '../../gateway/createEventSplitter';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { evaluateSilence } from '../../gateway/evaluateSilence';
+import { isFramed } from './isFramed';
 import { openExchange } from './openExchange';
 import { planStreamMigration } from '../../gateway/planStreamMigration';
 import { readReplyBody } from './readReplyBody';
@@ -18,26 +19,9 @@
 import type { StreamEvent } from '../../gateway/splitEvents';
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
 import type { StreamProgress } from '../../gateway/streamProgress';
-import type { ServerReply } from './callServer';
+import type { AttemptOutcome } from './attemptOutcome';
 import type { StreamLimit } from './finishStream';
 
-export type AttemptOutcome =
-  | { readonly type: 'complete' }
-  /** The engine answered with a failure, which is final. */
-  | { readonly type: 'answered'; readonly reply: ServerReply }
-  /** The chain reports that it did not run the request. */
-  | { readonly type: 'not-run'; readonly fault: string | undefined; readonly detail: string }
-  | { readonly type: 'unreached'; readonly detail: string; readonly isRefused?: boolean }
-  /** The request ran in part, or may have; `isLost` if the connection ended before the answer did. */
-  | {
-      readonly type: 'broken';
-      readonly detail: string;
-      readonly isOversized?: boolean;
-      readonly isLost?: boolean;
-    }
-  /** The caller left or the deadline passed. */
-  | { readonly type: 'stopped' };
-
 /** Delay before a failed migration is retried, doubled each time because orders are expensive. */
 const MIGRATION_RETRY_MS = 400;
 
@@ -150,7 +134,8 @@
       if (isOversized) endAttempt({ type: 'broken', detail: 'body too large', isOversized });
     });
     reply.on('end', () => {
-      if (reply.complete && !splitter.hasRest()) endAttempt({ type: 'complete' });
+      if (reply.complete && !splitter.hasRest())
+        endAttempt({ type: 'complete', isFramed: isFramed(reply) });
       else endAttempt({ type: 'broken', detail: 'ended early', isLost: true });
     });
     reply.on('error', (error) => {
@@ -190,7 +175,11 @@
       if (read.type === 'broken') endAttempt(read);
       else {
         const headers = protocol.replyHeaders(reply.headers);
-        endAttempt({ type: 'answered', reply: { status, headers, body: read.body } });
+        const { body } = read;
+        endAttempt({
+          type: 'answered',
+          reply: { status, headers, body, isFramed: isFramed(reply) },
+        });
       }
     });
   };
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -89,7 +89,7 @@
     }
     if (outcome.type === 'answered') {
       host.registry.clearSuspicion(server.id);
-      host.contents.recordHarmlessRun(job.contents);
+      if (outcome.reply.isFramed) host.contents.recordHarmlessRun(job.contents);
       fallback = outcome.reply;
       failures += 1;
       if (!isServerFailure(outcome.reply.status) || failures >= CONFIRMED_FAILURES) break;
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -13,7 +13,7 @@
 import { reserveStreamChain } from './reserveStreamChain';
 import type { ReservedChain } from './reserveStreamChain';
 import { runStreamAttempt } from './runStreamAttempt';
-import type { AttemptOutcome } from './runStreamAttempt';
+import type { AttemptOutcome } from './attemptOutcome';
 import type { StreamProgress } from '../../gateway/streamProgress';
 import { waitForStreamChain } from './waitForStreamChain';
 
@@ -115,7 +115,7 @@
       isRetrySpent = usedRetry;
     } else sentAttempts += 1;
     if (outcome.type === 'complete') {
-      host.contents.recordHarmlessRun(job.contents);
+      if (outcome.isFramed) host.contents.recordHarmlessRun(job.contents);
       job.response.end();
       return;
     }
