Refuse a whole request whatever else explains its crashes

A fatal stream and streams with a fatal part ended the same engines. The stream was refused after its third end; once the part led with five, it explained these three, and the stream ran again on all VMs until it had three of its own.

Refusing one request costs no other anything, so nothing may explain its crashes away; parts, which sound requests share, keep the rule. The new case of findCulprits.test.ts fails before.

Not mended: two fatal parts that always end the same engines; the second is refused once it has crashes of its own.

--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -3,10 +3,15 @@
  * what they hit also depends on timing, so a case is evidence of its cause and no exact replay.
  */
 
+import { FATAL_KINDS } from './createFatalCallers';
+import type { FatalKind } from './createFatalCallers';
+
 export interface SoakCase {
   readonly seed: number;
   /** Number of faults to start. */
   readonly faults: number;
+  /** Kinds of requests of which some end each server that runs them. */
+  readonly fatalKinds?: readonly FatalKind[];
   readonly cause: string;
   /** Whether the case is part of the test suite. */
   readonly isInSuite: boolean;
@@ -61,4 +66,11 @@
     cause: 'all gateways see a stall of 0.4 s, which counts as silence of every engine',
     isInSuite: false,
   },
+  {
+    seed: 109,
+    faults: 8,
+    fatalKinds: FATAL_KINDS,
+    cause: 'a fatal request is no longer refused once a fatal part explains its crashes',
+    isInSuite: false,
+  },
 ];
--- a/src/crashes/crashLimitOf.ts
+++ b/src/crashes/crashLimitOf.ts
@@ -10,7 +10,7 @@
  * are in many requests, so more of them are on a server by chance.
  */
 const LIMITS: Readonly<Record<string, CrashLimit>> = {
-  request: { maxCrashes: 3, validMs: VALID_MS },
+  request: { maxCrashes: 3, validMs: VALID_MS, isWholeRequest: true },
   part: { maxCrashes: 4, validMs: VALID_MS },
 };
 
--- a/src/crashes/findCulprits.test.ts
+++ b/src/crashes/findCulprits.test.ts
@@ -1,7 +1,8 @@
 import type { ContentTally } from './contentTally';
+import type { CrashLimit } from './crashTally';
 import { findCulprits } from './findCulprits';
 
-const limitOf = (): { maxCrashes: number; validMs: number } => ({ maxCrashes: 3, validMs: 1_000 });
+const limitOf = (): CrashLimit => ({ maxCrashes: 3, validMs: 1_000 });
 
 const tally = (servers: string, disproved = ''): ContentTally => ({
   servers: servers.split(''),
@@ -52,11 +53,24 @@
   });
 
   it('applies the limit of each content', () => {
-    const limits = (content: string): { maxCrashes: number; validMs: number } => ({
+    const limits = (content: string): CrashLimit => ({
       maxCrashes: content === 'part' ? 4 : 3,
       validMs: 1_000,
     });
     const tallies = Object.entries({ part: tally('abc'), request: tally('efg') });
     expect(findCulprits(tallies, limits, 0).map(({ contents }) => contents)).toEqual([['request']]);
   });
+
+  it('refuses a whole request also if another content explains its crashes', () => {
+    const limits = (content: string): CrashLimit => ({
+      maxCrashes: 3,
+      validMs: 1_000,
+      isWholeRequest: content === 'request',
+    });
+    const tallies = Object.entries({ request: tally('abc'), part: tally('abcde') });
+    expect(findCulprits(tallies, limits, 0).map(({ contents }) => contents)).toEqual([
+      ['part'],
+      ['request'],
+    ]);
+  });
 });
--- a/src/crashes/findCulprits.ts
+++ b/src/crashes/findCulprits.ts
@@ -2,7 +2,8 @@
  * Finds the contents that have caused crashes, among all that ran on the servers that crashed. A harmful content
  * explains most crashes; what else ran on the same servers is explained by it, unless it has enough crashes of
  * its own. Contents that explain the same crashes can't be told apart: only requests that hold all of them are
- * refused, so a request that holds some shows which it is.
+ * refused, so a request that holds some shows which it is. A whole request is refused whatever else explains its
+ * crashes, since two harmful contents may run on the same servers.
  */
 
 import type { ContentTally } from './contentTally';
@@ -39,7 +40,7 @@
   limitOf: (content: string) => CrashLimit,
   atMs: number,
 ): readonly Culprits[] {
-  let candidates = rankRefused(
+  const refused = rankRefused(
     [...tallies].map(([content, tally]): Candidate => {
       const { lastCrashAtMs } = tally;
       return { content, servers: listOpenCrashes(tally), limit: limitOf(content), lastCrashAtMs };
@@ -47,14 +48,11 @@
     atMs,
   );
   const found: Culprits[] = [];
+  let candidates = refused;
   for (let [lead] = candidates; lead !== undefined; [lead] = candidates) {
     const { servers } = lead;
     const group = candidates.filter((other) => isAlike(servers, other.servers));
-    found.push({
-      contents: group.map(({ content }) => content),
-      servers,
-      untilMs: Math.max(...group.map(({ lastCrashAtMs, limit }) => lastCrashAtMs + limit.validMs)),
-    });
+    found.push(toCulprits(group, servers));
     const explained = new Set(group.flatMap((member) => member.servers));
     const rest = candidates.map((other) => ({
       ...other,
@@ -62,7 +60,21 @@
     }));
     candidates = rankRefused(rest, atMs);
   }
-  return found;
+  const foundAlone = new Set(
+    found.flatMap(({ contents }) => (contents.length > 1 ? [] : contents)),
+  );
+  const others = refused.filter(
+    ({ content, limit }) => limit.isWholeRequest && !foundAlone.has(content),
+  );
+  return [...found, ...others.map((request) => toCulprits([request], request.servers))];
+}
+
+function toCulprits(group: readonly Candidate[], servers: readonly string[]): Culprits {
+  return {
+    contents: group.map(({ content }) => content),
+    servers,
+    untilMs: Math.max(...group.map(({ lastCrashAtMs, limit }) => lastCrashAtMs + limit.validMs)),
+  };
 }
 
 /** Selects the contents that would be refused by themselves, those with most crashes first. */
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -100,7 +100,7 @@
     const vm = createVm();
     for (const server of [a, b, c]) vm.crash(server, 'sound');
     vm.answer(b);
-    expect([vm.heldMs('sound'), vm.lines.at(-1)]).toEqual([0, 'content cleared']);
+    expect([vm.heldMs('sound'), vm.lines.at(-1)]).toEqual([0, 'content released']);
   });
 
   it('clears a content that runs without harm of the crashes before', () => {
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -121,7 +121,7 @@
     }
     for (const group of before) {
       if (!currently.has(formatContents(group)))
-        log('content cleared', { contents: formatContents(group) });
+        log('content released', { contents: formatContents(group) });
     }
   };
   const disprove = (content: string, servers: readonly string[]): void => {
