Refuse no request that another may explain

It had run on the same three engines as a fatal one, and since both were refused, each by itself; a request that is refused can't show that it is sound, so callers were refused to the end of the run.

Between two whole requests that ran on the same servers nothing is decided until one leads by two crashes; the sound one shows itself by its next run.

--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -73,4 +73,12 @@
     cause: 'a fatal request is no longer refused once a fatal part explains its crashes',
     isInSuite: false,
   },
+  {
+    seed: 105,
+    faults: 8,
+    fatalKinds: FATAL_KINDS,
+    cause:
+      'a sound request that ran beside a fatal one is refused as well, and can’t show that it is sound',
+    isInSuite: false,
+  },
 ];
--- a/src/crashes/findCulprits.test.ts
+++ b/src/crashes/findCulprits.test.ts
@@ -73,4 +73,15 @@
       ['request'],
     ]);
   });
+
+  it('refuses no whole request that another may explain, until one leads by two', () => {
+    const limits = (): CrashLimit => ({ maxCrashes: 3, validMs: 1_000, isWholeRequest: true });
+    const findRefused = (bad: string): readonly (readonly string[])[] =>
+      findCulprits(Object.entries({ bad: tally(bad), sound: tally('abc') }), limits, 0)
+        .map(({ contents }) => contents)
+        .filter((contents) => contents.length === 1);
+    expect(findRefused('abc')).toEqual([]);
+    expect(findRefused('abcd')).toEqual([]);
+    expect(findRefused('abcde')).toEqual([['bad']]);
+  });
 });
--- a/src/crashes/findCulprits.ts
+++ b/src/crashes/findCulprits.ts
@@ -2,8 +2,9 @@
  * Finds the contents that have caused crashes, among all that ran on the servers that crashed. A harmful content
  * explains most crashes; what else ran on the same servers is explained by it, unless it has enough crashes of
  * its own. Contents that explain the same crashes can't be told apart: only requests that hold all of them are
- * refused, so a request that holds some shows which it is. A whole request is refused whatever else explains its
- * crashes, since two harmful contents may run on the same servers.
+ * refused, so a request that holds some shows which it is. A whole request is refused also if a part explains its
+ * crashes, since two harmful contents may run on the same servers; but not if another whole request does, which
+ * may be the only harmful one.
  */
 
 import type { ContentTally } from './contentTally';
@@ -63,8 +64,11 @@
   const foundAlone = new Set(
     found.flatMap(({ contents }) => (contents.length > 1 ? [] : contents)),
   );
-  const others = refused.filter(
-    ({ content, limit }) => limit.isWholeRequest && !foundAlone.has(content),
+  const requests = refused.filter(({ limit }) => limit.isWholeRequest);
+  const others = requests.filter(
+    (request) =>
+      !foundAlone.has(request.content) &&
+      !requests.some((other) => other !== request && isAlike(request.servers, other.servers)),
   );
   return [...found, ...others.map((request) => toCulprits([request], request.servers))];
 }
