Keep what is refused when many contents are suspected

Contents with a single crash now go first, a hundred at a time, and what is refused stays.

The new case, with 5,000 contents, failed before, after 118 s: each new content sorted all others. It passes, and the file's 18 cases with it in seconds.

--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -204,6 +204,17 @@
     });
   });
 
+  it('goes on refusing a content however many others are suspected', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'bad');
+    for (let number = 0; number < 5_000; number += 1) {
+      vm.setTime(number);
+      vm.crash(a, `other-${number}`);
+    }
+    expect(vm.heldMs('bad')).toBeGreaterThan(0);
+    expect(vm.takeReports(10_000).length).toBeLessThanOrEqual(1_000);
+  });
+
   it('lets a content run again long after its last crash', () => {
     const vm = createVm();
     for (const server of [a, b, c]) vm.crash(server, 'bad');
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -68,6 +68,7 @@
 const NEVER_MS = -1;
 
 const MAX_CONTENTS = 1_000;
+const CONTENTS_DROPPED_AT_ONCE = 100;
 const MAX_HARMLESS_CONTENTS = 4_096;
 const MAX_LOSSES = 1_000;
 
@@ -93,12 +94,24 @@
   const isRecent = (atMs: number | undefined, validMs: number): boolean =>
     atMs !== undefined && now() - atMs < validMs;
   const getReportedMs = (content: string): number => reportedMs.get(content) ?? NEVER_MS;
+  /** Drops contents with a single crash if there are any, and others only while they are not refused. */
+  const makeRoom = (): void => {
+    if (tallies.size < MAX_CONTENTS) return;
+    const refused = new Set(culprits.flatMap(({ contents }) => contents));
+    const single = tallies.filter(({ crashes }) => crashes === 1);
+    const dispensable =
+      single.size > 0 ? single : tallies.filter((_, content) => !refused.has(content));
+    const rest = tallies.filter((_, content) => !dispensable.has(content));
+    const maxTallies = Math.max(1, dispensable.size - CONTENTS_DROPPED_AT_ONCE);
+    const bounds = { maxTallies, validMs: TALLY_VALID_MS };
+    tallies = rest.merge(pruneCrashTallies(dispensable, now(), bounds));
+    for (const content of reportedMs.keys()) if (!tallies.has(content)) reportedMs.delete(content);
+  };
   const store = (content: string, tally: ContentTally): void => {
     const before = tallies.get(content);
     if (before === tally) return;
-    const bounds = { maxTallies: MAX_CONTENTS, validMs: TALLY_VALID_MS };
-    const kept = before === undefined ? pruneCrashTallies(tallies, now(), bounds) : tallies;
-    tallies = kept.set(content, tally);
+    if (before === undefined) makeRoom();
+    tallies = tallies.set(content, tally);
     reportedMs.delete(content);
     areCulpritsKnown = false;
     for (const listener of listeners) listener();
