--- a/src/adapters/gateway/createPeerGroup.test.ts
+++ b/src/adapters/gateway/createPeerGroup.test.ts
@@ -1,4 +1,3 @@
-import { createSocket } from 'node:dgram';
 import { createServerRegistry } from '../../gateway/createServerRegistry';
 import type { ServerRegistry } from '../../gateway/serverRegistry';
 import { createFirstEventDelays } from '../../gateway/createFirstEventDelays';
@@ -6,6 +5,7 @@
 import { createListedServer } from '../../chains/testEngine';
 import { createPeerRecord } from '../../peers/testPeer';
 import { createPeerGroup } from './createPeerGroup';
+import { findTestPorts } from './findTestPorts';
 import type { PeerGroup } from './createPeerGroup';
 
 interface Member {
@@ -16,20 +16,6 @@
 
 const now = (): number => performance.now();
 
-/** Finds ports that are free at the time of the call. */
-async function findPorts(count: number): Promise<readonly number[]> {
-  const sockets = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const socket = createSocket('udp4');
-      await new Promise<void>((resolve) => socket.bind(0, '127.0.0.1', resolve));
-      return socket;
-    }),
-  );
-  const ports = sockets.map((socket) => socket.address().port);
-  for (const socket of sockets) socket.close();
-  return ports;
-}
-
 function startMember(record: PeerRecord, suspectReports: string[]): Member {
   const registry = createServerRegistry({
     now,
@@ -62,7 +48,7 @@
 const datagrams: string[] = [];
 
 beforeEach(async () => {
-  const ports = await findPorts(18);
+  const ports = await findTestPorts(18);
   const records = ports.map((port, index): PeerRecord => {
     const failureDomain = index % 2 === 0 ? 'a' : 'b';
     return createPeerRecord(`${failureDomain}${10 + index}`, {
