Let what is refused run on trial after a while

The sound stream of the soak, always the same request, was on three engines that fatal requests ended within half a second, and ran nowhere in between. It was refused for ten minutes: a request that is refused can't show that it does no harm. The class of fault is the one of the incident before, a suspicion without a way back.

A request is now refused for 20 s after its third end and a part for 60 s after its fourth, four times as long with each further end and at most ten minutes, all worked out from the ends that the VMs share. Then it runs on trial, and a request that is suspect is sent to one server only. A sound one clears itself; a harmful one costs a server each time, at 20 s and 100 s for a request that keeps coming, of which the rule allows three.

Ruled out: a trial at once, since each costs a server while these are few; a VM that is chosen for trials, since such a request may not come there.

--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -81,4 +81,12 @@
       'a sound request that ran beside a fatal one is refused as well, and can’t show that it is sound',
     isInSuite: false,
   },
+  {
+    seed: 106,
+    faults: 8,
+    fatalKinds: FATAL_KINDS,
+    cause:
+      'a sound request was on three engines that fatal ones ended, and is refused for ten minutes',
+    isInSuite: false,
+  },
 ];
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -98,7 +98,7 @@
       host.contents.recordLoss(server, job.contents);
       void host.probes.check(server.id);
     }
-    if (!rule.isIdempotent || host.contents.heldMs(job.contents) > 0) break;
+    if (!rule.isIdempotent || host.contents.isSuspect(job.contents)) break;
   }
   if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -53,7 +53,7 @@
   /** Moves only to a server that has not had the request, so that silences do not send it to and fro. */
   const prepareMove = (entry: string): StreamLimit | undefined => {
     if (!rule.isResumable) return 'not resumable';
-    if (host.contents.heldMs(job.contents) > 0) return 'held back';
+    if (host.contents.isSuspect(job.contents)) return 'held back';
     const excluded = new Set([...runServers, entry]);
     if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
     const hasBegun = progress.events > 0;
@@ -68,7 +68,8 @@
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
     const entries = runServers.size < rule.maxAttempts ? undefined : runServers;
     const hasBegun = progress.events > 0;
-    if (host.contents.heldMs(job.contents) > 0) {
+    const isTried = sentAttempts > 0 && host.contents.isSuspect(job.contents);
+    if (isTried || host.contents.heldMs(job.contents) > 0) {
       limit = 'held back';
       break;
     }
--- a/src/crashes/crashTally.ts
+++ b/src/crashes/crashTally.ts
@@ -18,6 +18,4 @@
   readonly maxCrashes: number;
   /** Time after the last crash for which crashes count, milliseconds. */
   readonly validMs: number;
-  /** Whether the content is a whole request: refusing it costs no other request anything. */
-  readonly isWholeRequest?: boolean;
 }
--- a/src/crashes/findCulprits.test.ts
+++ b/src/crashes/findCulprits.test.ts
@@ -1,8 +1,13 @@
 import type { ContentTally } from './contentTally';
-import type { CrashLimit } from './crashTally';
+import type { ContentLimit } from './crashLimitOf';
 import { findCulprits } from './findCulprits';
 
-const limitOf = (): CrashLimit => ({ maxCrashes: 3, validMs: 1_000 });
+const limitOf = (): ContentLimit => ({
+  maxCrashes: 3,
+  validMs: 1_000,
+  isWholeRequest: false,
+  holdMs: 100,
+});
 
 const tally = (servers: string, disproved = ''): ContentTally => ({
   servers: servers.split(''),
@@ -53,18 +58,17 @@
   });
 
   it('applies the limit of each content', () => {
-    const limits = (content: string): CrashLimit => ({
+    const limits = (content: string): ContentLimit => ({
+      ...limitOf(),
       maxCrashes: content === 'part' ? 4 : 3,
-      validMs: 1_000,
     });
     const tallies = Object.entries({ part: tally('abc'), request: tally('efg') });
     expect(findCulprits(tallies, limits, 0).map(({ contents }) => contents)).toEqual([['request']]);
   });
 
   it('refuses a whole request also if another content explains its crashes', () => {
-    const limits = (content: string): CrashLimit => ({
-      maxCrashes: 3,
-      validMs: 1_000,
+    const limits = (content: string): ContentLimit => ({
+      ...limitOf(),
       isWholeRequest: content === 'request',
     });
     const tallies = Object.entries({ request: tally('abc'), part: tally('abcde') });
@@ -75,7 +79,7 @@
   });
 
   it('refuses no whole request that another may explain, until one leads by two', () => {
-    const limits = (): CrashLimit => ({ maxCrashes: 3, validMs: 1_000, isWholeRequest: true });
+    const limits = (): ContentLimit => ({ ...limitOf(), isWholeRequest: true });
     const findRefused = (bad: string): readonly (readonly string[])[] =>
       findCulprits(Object.entries({ bad: tally(bad), sound: tally('abc') }), limits, 0)
         .map(({ contents }) => contents)
@@ -84,4 +88,10 @@
     expect(findRefused('abcd')).toEqual([]);
     expect(findRefused('abcde')).toEqual([['bad']]);
   });
+
+  it('refuses a content for longer with each further crash', () => {
+    const untilMs = (servers: string): number | undefined =>
+      findCulprits(Object.entries({ bad: tally(servers) }), limitOf, 0)[0]?.untilMs;
+    expect([untilMs('abc'), untilMs('abcd'), untilMs('abcdef')]).toEqual([100, 400, 1_000]);
+  });
 });
--- a/src/crashes/findCulprits.ts
+++ b/src/crashes/findCulprits.ts
@@ -8,7 +8,8 @@
  */
 
 import type { ContentTally } from './contentTally';
-import type { CrashLimit } from './crashTally';
+import { computeHoldMs } from './computeHoldMs';
+import type { ContentLimit } from './crashLimitOf';
 import { hasCrashedTooOften } from './hasCrashedTooOften';
 import { listOpenCrashes } from './listOpenCrashes';
 
@@ -17,7 +18,7 @@
   readonly contents: readonly string[];
   /** Incarnations of the servers that have crashed. */
   readonly servers: readonly string[];
-  /** Time until which the crashes count, milliseconds. */
+  /** Time until which such requests are refused; afterwards they run on trial, milliseconds. */
   readonly untilMs: number;
 }
 
@@ -27,7 +28,7 @@
 interface Candidate {
   readonly content: string;
   readonly servers: readonly string[];
-  readonly limit: CrashLimit;
+  readonly limit: ContentLimit;
   readonly lastCrashAtMs: number;
 }
 
@@ -38,7 +39,7 @@
  */
 export function findCulprits(
   tallies: Iterable<readonly [string, ContentTally]>,
-  limitOf: (content: string) => CrashLimit,
+  limitOf: (content: string) => ContentLimit,
   atMs: number,
 ): readonly Culprits[] {
   const refused = rankRefused(
@@ -77,7 +78,11 @@
   return {
     contents: group.map(({ content }) => content),
     servers,
-    untilMs: Math.max(...group.map(({ lastCrashAtMs, limit }) => lastCrashAtMs + limit.validMs)),
+    untilMs: Math.max(
+      ...group.map(
+        (member) => member.lastCrashAtMs + computeHoldMs(member.servers.length, member.limit),
+      ),
+    ),
   };
 }
 
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -215,6 +215,25 @@
     expect(vm.takeReports(10_000).length).toBeLessThanOrEqual(1_000);
   });
 
+  it('lets a content run on trial after a while, and refuses it for longer if a server ends', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'bad');
+    vm.setTime(19_999);
+    expect(vm.heldMs('bad')).toBe(1);
+    vm.setTime(20_000);
+    expect([vm.heldMs('bad'), vm.isSuspect(['request:bad'])]).toEqual([0, true]);
+    vm.crash(servers[3] ?? a, 'bad');
+    expect(vm.heldMs('bad')).toBe(80_000);
+  });
+
+  it('clears a content by its trial', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'sound');
+    vm.setTime(20_000);
+    vm.recordHarmlessRun('sound');
+    expect(vm.isSuspect(['request:sound'])).toBe(false);
+  });
+
   it('lets a content run again long after its last crash', () => {
     const vm = createVm();
     for (const server of [a, b, c]) vm.crash(server, 'bad');
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -28,6 +28,8 @@
 export interface ContentSuspicions {
   /** Time for which a request with these contents is refused, milliseconds; 0 if it may run. */
   readonly heldMs: (contents: readonly string[]) => number;
+  /** Whether such a request is refused, or runs on trial and should be sent to one server only. */
+  readonly isSuspect: (contents: readonly string[]) => boolean;
   /** Records a run whose connection the server lost. */
   readonly recordLoss: (server: ServerIncarnation, contents: readonly string[]) => void;
   /** Records that a request with these contents has run without ending its server. */
@@ -58,7 +60,7 @@
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
-/** Time for which crashes are kept, milliseconds; no content is refused for longer. */
+/** Time for which crashes are kept, milliseconds. */
 const TALLY_VALID_MS = 600_000;
 
 /** Time for which a content is reported that was cleared of all crashes. */
@@ -137,6 +139,8 @@
         log('content released', { contents: formatContents(group) });
     }
   };
+  const findOwnCulprits = (contents: readonly string[]): readonly Culprits[] =>
+    culprits.filter((group) => group.contents.every((one) => contents.includes(one)));
   const disprove = (content: string, servers: readonly string[]): void => {
     const tally = tallies.get(content);
     if (tally === undefined) return;
@@ -197,12 +201,9 @@
   });
 
   return {
-    heldMs: (contents) => {
-      const held = culprits.filter((group) =>
-        group.contents.every((one) => contents.includes(one)),
-      );
-      return Math.max(0, ...held.map(({ untilMs }) => untilMs - now()));
-    },
+    heldMs: (contents) =>
+      Math.max(0, ...findOwnCulprits(contents).map(({ untilMs }) => untilMs - now())),
+    isSuspect: (contents) => findOwnCulprits(contents).length > 0,
     recordLoss: (incarnation, contents) => {
       const server = formatIncarnation(incarnation);
       if (isRecent(endedMs.get(server), LOSS_VALID_MS)) {
