Log each time that a content is refused for longer

content held back was written for the first time only; a trial that ends another server has the content refused for longer, and the log did not say so. The record of contents is called contentSuspicions in the gateway's host, beside the contents of a job.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -121,7 +121,7 @@
     const workspace = access.credential?.workspace;
     const { body } = read;
     const job = createJob({ request, response, rule, profile, workspace, arrivedMs, body });
-    const heldMs = host.contents.heldMs(job.contents);
+    const heldMs = host.contentSuspicions.heldMs(job.contents);
     if (heldMs > 0) {
       refuse(request, response, 'held-back', { retryAfterMs: heldMs });
       return;
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -89,16 +89,16 @@
     }
     if (outcome.type === 'answered') {
       host.registry.clearSuspicion(server.id);
-      if (outcome.reply.isFramed) host.contents.recordHarmlessRun(job.contents);
+      if (outcome.reply.isFramed) host.contentSuspicions.recordHarmlessRun(job.contents);
       fallback = outcome.reply;
       failures += 1;
       if (!isServerFailure(outcome.reply.status) || failures >= CONFIRMED_FAILURES) break;
     }
     if (outcome.type === 'unknown' && outcome.isLost) {
-      host.contents.recordLoss(server, job.contents);
+      host.contentSuspicions.recordLoss(server, job.contents);
       void host.probes.check(server.id);
     }
-    if (!rule.isIdempotent || host.contents.isSuspect(job.contents)) break;
+    if (!rule.isIdempotent || host.contentSuspicions.isSuspect(job.contents)) break;
   }
   if (!job.isOver()) sendFinalResponse(host, job, fallback, ends);
 }
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -53,7 +53,7 @@
   /** Moves only to a server that has not had the request, so that silences do not send it to and fro. */
   const prepareMove = (entry: string): StreamLimit | undefined => {
     if (!rule.isResumable) return 'not resumable';
-    if (host.contents.isSuspect(job.contents)) return 'held back';
+    if (host.contentSuspicions.isSuspect(job.contents)) return 'held back';
     const excluded = new Set([...runServers, entry]);
     if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
     const hasBegun = progress.events > 0;
@@ -68,8 +68,8 @@
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
     const entries = runServers.size < rule.maxAttempts ? undefined : runServers;
     const hasBegun = progress.events > 0;
-    const isTried = sentAttempts > 0 && host.contents.isSuspect(job.contents);
-    if (isTried || host.contents.heldMs(job.contents) > 0) {
+    const isTried = sentAttempts > 0 && host.contentSuspicions.isSuspect(job.contents);
+    if (isTried || host.contentSuspicions.heldMs(job.contents) > 0) {
       limit = 'held back';
       break;
     }
@@ -102,7 +102,7 @@
       onProgress: (next) => {
         progress = next;
         const isNews = detector.recordEvents(next.events - eventsBefore);
-        if (isNews) host.contents.recordHarmlessRun(job.contents);
+        if (isNews) host.contentSuspicions.recordHarmlessRun(job.contents);
       },
       prepareMove: () =>
         attempt + 1 < MAX_ATTEMPTS ? prepareMove(entry) : 'attempts of the route',
@@ -116,7 +116,7 @@
       isRetrySpent = usedRetry;
     } else sentAttempts += 1;
     if (outcome.type === 'complete') {
-      if (outcome.isFramed) host.contents.recordHarmlessRun(job.contents);
+      if (outcome.isFramed) host.contentSuspicions.recordHarmlessRun(job.contents);
       job.response.end();
       return;
     }
@@ -126,7 +126,7 @@
       runServers.add(entry);
       const isSuspicious = outcome.isLost === true && !detector.isHarmless();
       if (isSuspicious && incarnation !== undefined) {
-        host.contents.recordLoss(incarnation, job.contents);
+        host.contentSuspicions.recordLoss(incarnation, job.contents);
       }
       void host.probes.ask(entry);
       if (!rule.isResumable) break;
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -123,10 +123,10 @@
     areCulpritsKnown = true;
     const before = culprits;
     culprits = findCulprits(tallies, crashLimitOf, now());
-    const formerly = new Set(before.map(formatContents));
+    const untilMsBefore = new Map(before.map((group) => [formatContents(group), group.untilMs]));
     const currently = new Set(culprits.map(formatContents));
     for (const group of culprits) {
-      if (formerly.has(formatContents(group))) continue;
+      if (untilMsBefore.get(formatContents(group)) === group.untilMs) continue;
       count('contents_held_back');
       log('content held back', {
         contents: formatContents(group),
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -48,7 +48,7 @@
   readonly protocol: BackendProtocol;
   readonly registry: ServerRegistry;
   /** Contents that may have ended servers. */
-  readonly contents: ContentSuspicions;
+  readonly contentSuspicions: ContentSuspicions;
   readonly retryBudgets: RetryBudgets;
   readonly probes: ServerProbes;
   readonly watch: StreamWatch;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -168,12 +168,12 @@
   // Streams of other VMs use the same engine. The announcement reaches those VMs before they can detect
   // a pause of their own streams.
   registry.onSuspected(peers.announceSoon);
-  const contents = createContentSuspicions({ registry, now, log: writeLog, count });
-  const contentSharing = shareContentSuspicions(contents, peers);
+  const contentSuspicions = createContentSuspicions({ registry, now, log: writeLog, count });
+  const contentSharing = shareContentSuspicions(contentSuspicions, peers);
   const host: GatewayHost = {
     protocol,
     registry,
-    contents,
+    contentSuspicions,
     retryBudgets: createRetryBudgets({
       limits: () => ({
         ratio: settings.retries.ratio,
