Refuse a request for longer only by crashes that no part explains

The sound stream of the soak, always the same request, had been on five engines that streams with a fatal part ended; the part explained all five, but the request was refused for 320 s by their number. It is now refused for the shortest time unless crashes are left that nothing else explains, so its trial comes after 20 s.

The new case of findCulprits.test.ts fails before.

--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -89,4 +89,11 @@
       'a sound request was on three engines that fatal ones ended, and is refused for ten minutes',
     isInSuite: false,
   },
+  {
+    seed: 114,
+    faults: 8,
+    fatalKinds: FATAL_KINDS,
+    cause: 'a sound request is refused for longer by crashes that a fatal part explains',
+    isInSuite: false,
+  },
 ];
--- a/src/crashes/findCulprits.test.ts
+++ b/src/crashes/findCulprits.test.ts
@@ -94,4 +94,18 @@
       findCulprits(Object.entries({ bad: tally(servers) }), limitOf, 0)[0]?.untilMs;
     expect([untilMs('abc'), untilMs('abcd'), untilMs('abcdef')]).toEqual([100, 400, 1_000]);
   });
+
+  it('refuses a whole request for longer only by crashes that no part explains', () => {
+    const limits = (content: string): ContentLimit => ({
+      ...limitOf(),
+      isWholeRequest: content === 'request',
+    });
+    const findUntilMs = (servers: string): number | undefined =>
+      findCulprits(
+        Object.entries({ request: tally(servers), part: tally('abcdefg') }),
+        limits,
+        0,
+      ).find(({ contents }) => contents.join() === 'request')?.untilMs;
+    expect([findUntilMs('abcde'), findUntilMs('abcdx')]).toEqual([100, 400]);
+  });
 });
--- a/src/crashes/findCulprits.ts
+++ b/src/crashes/findCulprits.ts
@@ -4,7 +4,7 @@
  * its own. Contents that explain the same crashes can't be told apart: only requests that hold all of them are
  * refused, so a request that holds some shows which it is. A whole request is refused also if a part explains its
  * crashes, since two harmful contents may run on the same servers; but not if another whole request does, which
- * may be the only harmful one.
+ * may be the only harmful one. It is refused for longer only by crashes that no part explains.
  */
 
 import type { ContentTally } from './contentTally';
@@ -71,7 +71,17 @@
       !foundAlone.has(request.content) &&
       !requests.some((other) => other !== request && isAlike(request.servers, other.servers)),
   );
-  return [...found, ...others.map((request) => toCulprits([request], request.servers))];
+  const explainedServers = new Set(found.flatMap(({ servers }) => servers));
+  return [...found, ...others.map((request) => toExplainedRequest(request, explainedServers))];
+}
+
+function toExplainedRequest(
+  { content, servers, limit, lastCrashAtMs }: Candidate,
+  explained: ReadonlySet<string>,
+): Culprits {
+  const ownCrashes = servers.filter((server) => !explained.has(server)).length;
+  const holdMs = computeHoldMs(limit.maxCrashes + ownCrashes, limit);
+  return { contents: [content], servers, untilMs: lastCrashAtMs + holdMs };
 }
 
 function toCulprits(group: readonly Candidate[], servers: readonly string[]): Culprits {
