Log the limits of requests that backend servers announce

Replies and reports are now decoded, and each limit is logged when a VM learns of it, when it changes and when it ends. No request goes another way for it yet.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -61,12 +61,13 @@
     stages: [],
     lastEventId: job.head.lastEventId,
   });
+  const sentMs = host.now();
   job.markSent();
   const exchange = openExchange(
     { address: server.address, method: job.method, path: job.path, headers, body: job.body },
     {
       onReply: (reply) => {
-        void readOutcome(host, job, server, reply).then(resolveCall);
+        void readOutcome(host, job, { server, sentMs, reply }).then(resolveCall);
       },
       onFailure: ({ isSent, detail, isRefused, isOversized }) => {
         if (isOversized) host.count('oversized_replies');
@@ -86,16 +87,22 @@
   return { end: outcome, abandon };
 }
 
+interface CallReply {
+  readonly server: ListedServer;
+  /** Time at which the request was sent, monotonic, milliseconds. */
+  readonly sentMs: number;
+  readonly reply: IncomingMessage;
+}
+
 async function readOutcome(
   host: GatewayHost,
   job: Job,
-  server: ListedServer,
-  reply: IncomingMessage,
+  { server, sentMs, reply }: CallReply,
 ): Promise<CallOutcome> {
   const { protocol } = host;
   const status = reply.statusCode ?? 0;
   const head = protocol.readReply(status, reply.headers);
-  recordReplyNotices(host, server.id, head);
+  recordReplyNotices(host, { server: server.id, requestId: job.head.id, sentMs, head });
   if (head.isNotRun) {
     reply.destroy();
     return { type: 'not-run', detail: `status ${status}` };
--- a/src/adapters/gateway/createPlacer.test.ts
+++ b/src/adapters/gateway/createPlacer.test.ts
@@ -32,6 +32,7 @@
     fetchReport: () =>
       Promise.resolve({
         type: 'report',
+        requestLimit: { type: 'none' },
         report: { bornMs: 5, isBusy: false, acceptedOrders: 0, layers: { from: 0, to: 4 } },
       }),
     placeLayers: (_address: string, { from, to }: LayerRange) => {
--- a/src/adapters/gateway/recordReplyNotices.ts
+++ b/src/adapters/gateway/recordReplyNotices.ts
@@ -7,19 +7,34 @@
 /** Longest text of a malformed quiet time that is logged, characters. */
 const MAX_LOGGED_CHARS = 40;
 
+export interface ReceivedReply {
+  /** Id of the server that sent the reply. */
+  readonly server: string;
+  /** Id of the request that it was sent for. */
+  readonly requestId: string;
+  /** Time at which the request was sent, monotonic, milliseconds. */
+  readonly sentMs: number;
+  readonly head: ReplyHead;
+}
+
 /**
  * Keeps requests away from a server that wants none for a while; waiting requests try again afterwards.
- *
- * @param server id of the server that sent the reply
+ * Records the limit of requests that it states, or that it states none; bytes that are no answer state nothing.
  */
 export function recordReplyNotices(
   { registry, random, log }: GatewayHost,
-  server: string,
-  { quietMs, malformedQuietTime }: ReplyHead,
+  { server, requestId, sentMs, head }: ReceivedReply,
 ): void {
+  const { quietMs, malformedQuietTime, requestLimit: limit } = head;
   if (malformedQuietTime !== undefined) {
     log('quiet time not usable', { server, text: malformedQuietTime.slice(0, MAX_LOGGED_CHARS) });
   }
+  if (isAnswer(head, requestId)) registry.recordLimit(server, { limit, sentMs, source: 'request' });
   if (quietMs === undefined || quietMs === 0) return;
   registry.recordQuiet(server, computeQuietTime(quietMs, random()));
 }
+
+function isAnswer(head: ReplyHead, requestId: string): boolean {
+  const isOwn = head.requestId === undefined || head.requestId === requestId;
+  return isOwn && (head.isSealed || head.isNotRun);
+}
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -148,7 +148,12 @@
   const receiveReply = (reply: IncomingMessage): void => {
     const status = reply.statusCode ?? 0;
     const head = protocol.readReply(status, reply.headers);
-    recordReplyNotices(host, entry.id, head);
+    recordReplyNotices(host, {
+      server: entry.id,
+      requestId: job.head.id,
+      sentMs: startedMs,
+      head,
+    });
     if (head.isNotRun) {
       reply.destroy();
       endAttempt({ type: 'not-run', fault: head.faultAddress, detail: `status ${status}` });
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -35,6 +35,12 @@
   readonly lastEventId: string | undefined;
 }
 
+/** What a backend server's reply states about the requests that it takes from all VMs together. */
+export type RequestLimit =
+  | { readonly type: 'none' }
+  | { readonly type: 'limit'; readonly perSecond: number }
+  | { readonly type: 'malformed'; readonly text: string };
+
 /** Metadata from the headers of a backend server's reply. */
 export interface ReplyHead {
   /** Id of the request that the reply belongs to. */
@@ -53,6 +59,7 @@
   readonly quietMs: number | undefined;
   /** Text in place of a quiet time that is not a time. */
   readonly malformedQuietTime: string | undefined;
+  readonly requestLimit: RequestLimit;
 }
 
 /** A running request that waits for an engine of its chain. */
@@ -87,7 +94,11 @@
   | { readonly type: 'unknown'; readonly detail: string };
 
 export type ReportResult =
-  | { readonly type: 'report'; readonly report: EngineReport }
+  | {
+      readonly type: 'report';
+      readonly report: EngineReport;
+      readonly requestLimit: RequestLimit;
+    }
   /** The connection was refused or reset, or the answer was broken or over its bound. */
   | { readonly type: 'refused'; readonly detail?: string }
   | { readonly type: 'silent' }
--- a/src/gateway/createServerProbes.test.ts
+++ b/src/gateway/createServerProbes.test.ts
@@ -8,6 +8,7 @@
 
 const report: ReportResult = {
   type: 'report',
+  requestLimit: { type: 'none' },
   report: {
     bornMs: 5,
     acceptedOrders: 0,
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -62,8 +62,10 @@
     const server = registry.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
     if (registry.quietMs(id) > 0) return { type: 'failed', detail: 'wants no requests' };
+    const sentMs = now();
     const result = await protocol.fetchReport(server.address);
     if (result.type === 'report') {
+      registry.recordLimit(id, { limit: result.requestLimit, sentMs, source: 'report' });
       const { pace, queued, running, memoryShare } = result.report;
       registry.recordReport(id, { pace, memoryShare });
       if (pace >= SLOW_PACE || memoryShare >= CROWDED_SHARE) {
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -10,6 +10,7 @@
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ChainEngine, ListedServer } from '../chains/layerEngine';
 import { createEngineReports } from './createEngineReports';
+import { createRequestLimits } from './createRequestLimits';
 import { createServerNotices } from './createServerNotices';
 import { createSuspicions } from './createSuspicions';
 import type { SuspicionReason } from './createSuspicions';
@@ -47,6 +48,7 @@
   let byAddress = new Map<string, ListedServer>();
   const suspicions = createSuspicions({ now, log, count });
   const notices = createServerNotices({ now, log, count });
+  const limits = createRequestLimits({ now, log, count });
   const backOffUntilMs = new Map<string, number>();
   const reports = createEngineReports(now);
   const lastEventsMs = new Map<string, number>();
@@ -147,6 +149,10 @@
       callLater(notifyChange, forMs);
     },
     quietMs: notices.quietMs,
+    recordLimit: (id, { limit, sentMs, source }) => {
+      const server = listed.get(id);
+      if (server !== undefined) limits.record({ server, limit, sentMs, source });
+    },
     servers: (service) => [...listed.values()].filter((server) => server.service === service),
     find: (id) => listed.get(id),
     findByAddress: (address) => byAddress.get(address),
--- a/src/gateway/serverRegistry.ts
+++ b/src/gateway/serverRegistry.ts
@@ -4,6 +4,7 @@
 import type { GatewayWork } from './gatewayWork';
 import type { ChainEngine, ListedServer, Stage } from '../chains/layerEngine';
 import type { EngineCondition } from './createEngineReports';
+import type { LimitStatement } from './createRequestLimits';
 import type { ServerNotices } from './createServerNotices';
 import type { ServerSuspicion, SuspicionReason } from './createSuspicions';
 
@@ -14,6 +15,8 @@
 export interface ServerRegistry extends Pick<ServerNotices, 'recordQuiet' | 'quietMs'> {
   /** Replaces the list of backend servers. */
   readonly list: (servers: readonly ListedServer[]) => void;
+  /** Records what a reply of a server states about its limit of requests. */
+  readonly recordLimit: (id: string, statement: Omit<LimitStatement, 'server'>) => void;
   readonly servers: (service: string) => readonly ListedServer[];
   readonly find: (id: string) => ListedServer | undefined;
   readonly findByAddress: (address: string) => ListedServer | undefined;
