Let servers announce limits of requests in the fault soak

Some servers of a service announce 1, 2.5 or 5 requests a second for 6 to 9 s at a time, beside all faults; what they receive of all VMs together is checked in every window of 4 s, from 3 s after the limit began, with no excuse for VMs that were disturbed. Limits have a seed of their own, so that the faults of the kept seeds stay as they were.

--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -9,7 +9,6 @@
 import { hideBin } from 'yargs/helpers';
 import { bundleDaemon } from './bundleDaemon';
 import { FATAL_KINDS } from './createFatalCallers';
-import type { FatalKind } from './createFatalCallers';
 import { runFaultSoak } from './runFaultSoak';
 import type { FaultSoakOptions } from './runFaultSoak';
 import { SOAK_CASES } from './soakCases';
@@ -29,6 +28,11 @@
         default: true,
         describe: 'also send requests that end each server which runs them',
       },
+      limits: {
+        type: 'boolean',
+        default: true,
+        describe: 'also have servers announce limits of requests',
+      },
       cases: {
         type: 'boolean',
         default: false,
@@ -39,7 +43,11 @@
     .parseAsync();
   const runs = argv.cases
     ? SOAK_CASES
-    : listRuns(argv.seeds, argv.faults, argv.fatal ? FATAL_KINDS : []);
+    : listRuns(argv.seeds, {
+        faults: argv.faults,
+        fatalKinds: argv.fatal ? FATAL_KINDS : [],
+        hasLimits: argv.limits,
+      });
   const program = await bundleDaemon();
   const failed: number[] = [];
   for (const run of runs) {
@@ -56,8 +64,7 @@
 
 function listRuns(
   seeds: string,
-  faults: number,
-  fatalKinds: readonly FatalKind[],
+  options: Omit<FaultSoakOptions, 'seed' | 'program'>,
 ): readonly Omit<FaultSoakOptions, 'program'>[] {
   const [from, to] = seeds.split('..').map(Number);
   if (from === undefined || to === undefined || !(to >= from)) {
@@ -65,8 +72,7 @@
   }
   return Array.from({ length: to - from + 1 }, (_, index) => ({
     seed: from + index,
-    faults,
-    fatalKinds,
+    ...options,
   }));
 }
 
--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -16,6 +16,8 @@
 import { createStream } from '../../platform/standins/createStream';
 import { createFatalCallers, FIRST_PART, isFatalRequest } from './createFatalCallers';
 import type { FatalKind } from './createFatalCallers';
+import { createLimitRecord } from './createLimitRecord';
+import { startLimits } from './startLimits';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
 import type { SoakLedger } from './soakLedger';
@@ -30,6 +32,8 @@
   readonly program: string;
   /** Kinds of requests of which some end each server that runs them. */
   readonly fatalKinds?: readonly FatalKind[];
+  /** Whether servers announce limits of requests. */
+  readonly hasLimits?: boolean;
 }
 
 export interface FaultSoakRun {
@@ -52,14 +56,17 @@
 /** Parts of which each prompt holds one. */
 const SOUND_PARTS = 8;
 
-/** Keeps the seeds of fatal requests apart from those of faults and sound requests. */
+/** Keep the seeds of what else happens apart from those of faults and sound requests. */
 const FATAL_SEED_OFFSET = 1_000_000;
+const LIMIT_SEED_OFFSET = 2_000_000;
+
+const noop = (): Promise<void> => Promise.resolve();
 
 const REQUEST_KINDS: readonly CallerRequestKind[] = ['stream', 'stream', 'once', 'lookup'];
 
 /** Runs the faults and the requests that the seed determines. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakRun> {
-  const { seed, fatalKinds = [] } = options;
+  const { seed, fatalKinds = [], hasLimits = false } = options;
   const random = createRandom(seed);
   const ledger = createSoakLedger({
     layers: LAYERS,
@@ -69,11 +76,15 @@
   const fatalCallers = fatalKinds.map((kind, index) =>
     createFatalCallers(kind, ledger, seed + FATAL_SEED_OFFSET + index),
   );
+  const limitRecord = createLimitRecord();
   const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
   const site = await startSoakSite({
     folder,
     program: options.program,
     serverHooks: {
+      onReceived: (server) => {
+        limitRecord.recordReceived(server, performance.now());
+      },
       isFatal: isFatalRequest,
       onRun: (...run) => {
         ledger.recordRun(...run);
@@ -91,6 +102,7 @@
   const faults: string[] = [];
   const reverts: Promise<void>[] = [];
   const traffic = caller.start(random.integer(1_000_000));
+  const stopLimits = hasLimits ? startLimits(site, limitRecord, seed + LIMIT_SEED_OFFSET) : noop;
   const fatalTraffic = fatalCallers.map(({ start }) => start(site));
   for (let count = 0; count < options.faults; count += 1) {
     const name = random.pick(Object.keys(SOAK_FAULTS));
@@ -100,10 +112,12 @@
     await sleep(random.exponential(MEAN_FAULT_GAP_MS));
   }
   await Promise.all(reverts);
+  await stopLimits();
   await Promise.all([traffic, ...fatalTraffic].map(({ stop }) => stop()));
   if (!(await caller.waitUntilServing(MAX_RECOVERY_MS)))
     findings.push('nothing was served after the faults');
   await sleep(DEADLINE_MS);
+  findings.push(...limitRecord.findings());
   findings.push(...ledger.findings(), ...fatalCallers.flatMap((callers) => callers.findings()));
   findings.push(...site.gateways.flatMap((gateway) => gateway.unexpectedExits()));
   for (const part of [...site.gateways, ...site.engines, site.store]) part.close();
--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -12,6 +12,8 @@
   readonly faults: number;
   /** Kinds of requests of which some end each server that runs them. */
   readonly fatalKinds?: readonly FatalKind[];
+  /** Whether servers announce limits of requests. */
+  readonly hasLimits?: boolean;
   readonly cause: string;
   /** Whether the case is part of the test suite. */
   readonly isInSuite: boolean;
