Log when a VM reaches no backend server

The logs of a partitioned VM read like those of a failure of all servers: each is suspected by itself. A detector now tells the two apart by bare connections to a few servers when a connection is late or fails, and logs when a partition begins and ends. No request goes another way for it yet.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -62,14 +62,17 @@
     lastEventId: job.head.lastEventId,
   });
   const sentMs = host.now();
+  const connection = host.partition.trackConnection();
   job.markSent();
   const exchange = openExchange(
     { address: server.address, method: job.method, path: job.path, headers, body: job.body },
     {
+      onConnect: connection.succeeded,
       onReply: (reply) => {
         void readOutcome(host, job, { server, sentMs, reply }).then(resolveCall);
       },
       onFailure: ({ isSent, detail, isRefused, isOversized }) => {
+        if (!isSent) connection.failed();
         if (isOversized) host.count('oversized_replies');
         if (isSent) resolveCall({ type: 'unknown', detail, isLost: !isOversized });
         else resolveCall({ type: 'unreached', detail, isRefused });
--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -28,6 +28,8 @@
 }
 
 export interface ExchangeHandlers {
+  /** The connection is established. */
+  readonly onConnect?: () => void;
   readonly onReply: (reply: IncomingMessage) => void;
   readonly onFailure: (failure: ExchangeFailure) => void;
 }
@@ -76,6 +78,7 @@
     socket.once('connect', () => {
       isSent = true;
       clearTimeout(timer);
+      handlers.onConnect?.();
     });
     socket.prependOnceListener('end', () => {
       // Node.js reports a reset that arrives with the last bytes as an orderly end, but the socket then
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -7,19 +7,20 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { createChainRepair } from './createChainRepair';
 import { createStreamMove } from './createStreamMove';
-import { createEventSplitter } from '../../gateway/createEventSplitter';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { evaluateSilence } from '../../gateway/evaluateSilence';
 import { isFramed } from './isFramed';
 import { openExchange } from './openExchange';
 import { planStreamMigration } from '../../gateway/planStreamMigration';
 import { readReplyBody } from './readReplyBody';
+import { readStreamEvents } from './readStreamEvents';
 import { recordReplyNotices } from './recordReplyNotices';
 import type { ReservedChain } from './reserveStreamChain';
 import type { StreamEvent } from '../../gateway/splitEvents';
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
 import type { StreamProgress } from '../../gateway/streamProgress';
 import type { AttemptOutcome } from './attemptOutcome';
+import { writeStreamHead } from './writeStreamHead';
 import type { StreamLimit } from './finishStream';
 
 /** Delay before a failed migration is retried, doubled each time because orders are expensive. */
@@ -125,26 +126,6 @@
     options.onProgress(progress);
     job.response.write(Buffer.concat(newEvents.map(({ bytes }) => bytes)));
   };
-  const readEvents = (reply: IncomingMessage): void => {
-    const splitter = createEventSplitter();
-    reply.on('data', (chunk: Buffer) => {
-      if (isOver) return;
-      const { events, isOversized } = splitter.split(chunk);
-      deliver(events);
-      if (isOversized) endAttempt({ type: 'broken', detail: 'body too large', isOversized });
-    });
-    reply.on('end', () => {
-      if (reply.complete && !splitter.hasRest())
-        endAttempt({ type: 'complete', isFramed: isFramed(reply) });
-      else endAttempt({ type: 'broken', detail: 'ended early', isLost: true });
-    });
-    reply.on('error', (error) => {
-      endAttempt({ type: 'broken', detail: error.message, isLost: true });
-    });
-    reply.on('close', () => {
-      endAttempt({ type: 'broken', detail: 'closed', isLost: true });
-    });
-  };
   const receiveReply = (reply: IncomingMessage): void => {
     const status = reply.statusCode ?? 0;
     const head = protocol.readReply(status, reply.headers);
@@ -167,13 +148,8 @@
     }
     if (head.isLeaving) registry.recordLeaving(entry.id);
     if (status >= 200 && status < 300) {
-      if (!job.response.headersSent) {
-        const headers = Object.entries(protocol.replyHeaders(reply.headers));
-        const unframed = headers.filter(([name]) => name !== 'content-length');
-        job.response.writeHead(status, Object.fromEntries(unframed));
-        job.response.flushHeaders();
-      }
-      readEvents(reply);
+      writeStreamHead(job.response, protocol, status, reply.headers);
+      readStreamEvents(reply, { isOver: () => isOver, onEvents: deliver, onEnd: endAttempt });
       return;
     }
     void readReplyBody(reply).then((read) => {
@@ -251,12 +227,15 @@
     stages: model === undefined ? [] : stages,
     lastEventId: progress.lastEventId,
   });
+  const connection = host.partition.trackConnection();
   job.markSent();
   const exchange = openExchange(
     { address: entry.address, method: job.method, path: job.path, headers, body: job.body },
     {
+      onConnect: connection.succeeded,
       onReply: receiveReply,
       onFailure: ({ isSent, detail, isRefused, isOversized }) => {
+        if (!isSent) connection.failed();
         if (isSent) endAttempt({ type: 'broken', detail, isOversized, isLost: !isOversized });
         else endAttempt({ type: 'unreached', detail, isRefused });
       },
--- /dev/null
+++ b/src/adapters/gateway/writeStreamHead.ts
@@ -0,0 +1,18 @@
+/** Begins the response to a stream's caller, once: a stream that goes on elsewhere keeps its first head. */
+
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import type { BackendProtocol } from '../../gateway/backendProtocol';
+
+/** @param headers headers of the reply that the stream begins with */
+export function writeStreamHead(
+  response: ServerResponse,
+  protocol: BackendProtocol,
+  status: number,
+  headers: IncomingHttpHeaders,
+): void {
+  if (response.headersSent) return;
+  const forwarded = Object.entries(protocol.replyHeaders(headers));
+  const unframed = forwarded.filter(([name]) => name !== 'content-length');
+  response.writeHead(status, Object.fromEntries(unframed));
+  response.flushHeaders();
+}
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -138,6 +138,7 @@
       const server = listed.get(id);
       if (server !== undefined) limits.record({ server, limit, sentMs, source });
     },
+    allServers: () => [...listed.values()],
     servers: (service) => [...listed.values()].filter((server) => server.service === service),
     find: (id) => listed.get(id),
     findByAddress: (address) => byAddress.get(address),
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -6,6 +6,7 @@
 import type { ContentSuspicions } from './createContentSuspicions';
 import type { ServerRegistry } from './serverRegistry';
 import type { RetryBudgets } from './createRetryBudgets';
+import type { PartitionDetector } from './createPartitionDetector';
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ServerProbes } from './createServerProbes';
 import type { StreamWatch } from './streamWatch';
@@ -51,6 +52,8 @@
   readonly contentSuspicions: ContentSuspicions;
   readonly retryBudgets: RetryBudgets;
   readonly probes: ServerProbes;
+  /** Tells whether this VM reaches any backend server. */
+  readonly partition: PartitionDetector;
   readonly watch: StreamWatch;
   readonly firstEventDelays: FirstEventDelays;
   readonly failureDomain: string;
--- a/src/gateway/serverRegistry.ts
+++ b/src/gateway/serverRegistry.ts
@@ -26,6 +26,7 @@
   readonly limitWaitMs: (id: string, send: LimitedSend) => number;
   /** Counts a query or an order towards the limit of the server; requests count as they are reserved. */
   readonly recordControl: (id: string) => void;
+  readonly allServers: () => readonly ListedServer[];
   readonly servers: (service: string) => readonly ListedServer[];
   readonly find: (id: string) => ListedServer | undefined;
   readonly findByAddress: (address: string) => ListedServer | undefined;
--- a/src/node/createBackendView.ts
+++ b/src/node/createBackendView.ts
@@ -5,6 +5,7 @@
 import type { BackendProtocol } from '../gateway/backendProtocol';
 import { createContentSuspicions } from '../gateway/createContentSuspicions';
 import { createFirstEventDelays } from '../gateway/createFirstEventDelays';
+import { createPartitionDetector } from '../gateway/createPartitionDetector';
 import { createRequestLimits } from '../gateway/createRequestLimits';
 import type { RequestLimits } from '../gateway/createRequestLimits';
 import { createServerProbes } from '../gateway/createServerProbes';
@@ -13,7 +14,7 @@
 
 export interface BackendView extends Pick<
   GatewayHost,
-  'registry' | 'probes' | 'contentSuspicions' | 'firstEventDelays'
+  'registry' | 'probes' | 'partition' | 'contentSuspicions' | 'firstEventDelays'
 > {
   readonly limits: RequestLimits;
 }
@@ -38,8 +39,18 @@
   const firstEventDelays = createFirstEventDelays(now);
   const limits = createRequestLimits({ now, log, count, vm, vms, random: Math.random });
   const registry = createServerRegistry({ now, firstEventDelays, log, count, callLater, limits });
+  const partition = createPartitionDetector({
+    servers: () => registry.allServers().filter(({ isDraining }) => !isDraining),
+    checkConnection: protocol.checkConnection,
+    now,
+    random: Math.random,
+    log,
+    count,
+    callLater,
+  });
   return {
     limits,
+    partition,
     registry,
     firstEventDelays,
     probes: createServerProbes({
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -27,6 +27,7 @@
 import { chooseAddresses } from '../peers/listLivePeers';
 import type { PeerRecord } from '../peers/peer';
 import { createBackendView } from './createBackendView';
+import { createGatewayTask } from './createGatewayTask';
 import { createGatewayMetrics } from './createGatewayMetrics';
 import { createFollowContext } from './createFollowContext';
 import type { GatewayPlatform } from './gatewayPlatform';
@@ -60,18 +61,9 @@
 /** Time between two runs of the periodic task, which checks placement and suspected servers, milliseconds. */
 const TASK_INTERVAL_MS = 250;
 
-/** Time between two probes of a suspected server by a VM whose relays probe it too, milliseconds. */
-const RELAYED_RECHECK_INTERVAL_MS = 3_000;
-
 /** Time after its start in which a VM probes engines before it uses them, milliseconds: some heartbeats. */
 const RECENT_START_MS = 2_500;
 
-/** Runs between two attempts to register (two seconds), to spare an unreachable store. */
-const REGISTRATION_RETRY_RUNS = 8;
-
-/** Runs between two removals of departed VMs (ten seconds); nothing depends on their removal. */
-const CLEANUP_RUNS = 40;
-
 /**
  * Time from the request to stop until new requests are refused, milliseconds: three validities, since
  * callers may keep addresses longer than one.
@@ -112,7 +104,7 @@
     log: writeLog,
     count,
   });
-  const { registry, probes } = backend;
+  const { registry } = backend;
   const self: PeerRecord = {
     vm: settings.vm.name,
     incarnation: randomUUID().slice(0, INCARNATION_CHARS),
@@ -159,7 +151,7 @@
     self,
     registry,
     isAccepting,
-    ...checkReportedServers(registry, probes),
+    ...checkReportedServers(registry, backend.probes),
     onDatagram: (datagram) => {
       sharing.receive(datagram);
     },
@@ -229,30 +221,19 @@
     executorKey: EXECUTOR_KEY,
   });
 
-  /**
-   * Relays probe suspected servers for their failure domain and report to its other VMs which servers
-   * answer again; these VMs therefore probe less often.
-   */
-  const getRecheckIntervalMs = (): number => {
-    const relays = peers.relays();
-    const isRelayed = relays.length > 0 && !relays.some(({ vm }) => vm === self.vm);
-    return isRelayed ? RELAYED_RECHECK_INTERVAL_MS : TASK_INTERVAL_MS;
-  };
-  let taskRuns = 0;
-  let wasAccepting = false;
-  const taskTimer = setInterval(() => {
-    taskRuns += 1;
-    if (wasAccepting !== isAccepting()) peers.announce();
-    wasAccepting = isAccepting();
-    if (registry.suspicions().length > 0) probes.recheckSuspected(getRecheckIntervalMs());
-    if (stoppingSinceMs !== undefined) return;
-    if (!membership.isRegistered() && taskRuns % REGISTRATION_RETRY_RUNS === 0)
-      void membership.register();
-    if (executorClaim.tick(peers.live()) && storeHealth.isReachable()) {
-      placer.tick();
-      if (taskRuns % CLEANUP_RUNS === 0) void membership.removeDeparted();
-    }
-  }, TASK_INTERVAL_MS);
+  const runTask = createGatewayTask({
+    self,
+    backend,
+    peers,
+    membership,
+    executorClaim,
+    placer,
+    storeHealth,
+    isAccepting,
+    isStopping: () => stoppingSinceMs !== undefined,
+    intervalMs: TASK_INTERVAL_MS,
+  });
+  const taskTimer = setInterval(runTask, TASK_INTERVAL_MS);
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
   listen(callerServer, settings.listen.callers);
   const tableServer = createServer(followContext.relay.handle);
