Reproduce VMs that reach no backend server and fail their callers

Two of three VMs are partitioned from all stand-in servers, while callers, the store and the third VM reach them; open connections hang, are reset or live on, new ones are refused. One of the two is killed meanwhile, and starts again behind the partition. Each VM has links of its own to the servers now, with addresses that only it reads in the store; the proxy can refuse new connections and hold the open ones.

--- a/measurements/faultSoak/startGatewayProcess.ts
+++ b/measurements/faultSoak/startGatewayProcess.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 import { findFreeAddresses } from '../../standins/proxy/listenOnLoopback';
 import type { FaultProxy } from '../../standins/proxy/startProxy';
+import type { ServerLinks } from './startServerLinks';
 import { startProxy } from '../../standins/proxy/startProxy';
 
 export interface GatewayProcess {
@@ -14,6 +15,8 @@
   /** Address for callers. */
   readonly address: string;
   readonly storeProxy: FaultProxy;
+  /** Its links to the backend servers. */
+  readonly links: ServerLinks;
   /** Sends a signal to this process only. */
   readonly signal: (signal: NodeJS.Signals) => void;
   /** Most recent lines of the process's log. */
@@ -34,6 +37,7 @@
   /** Folder for the settings file. */
   readonly folder: string;
   readonly storeAddress: string;
+  readonly links: ServerLinks;
 }
 
 const RESTART_DELAY_MS = 300;
@@ -46,7 +50,7 @@
 
 /** Starts the process, and restarts it after every exit until it is closed. */
 export async function startGatewayProcess(options: GatewayProcessOptions): Promise<GatewayProcess> {
-  const { name, zone, program, folder } = options;
+  const { name, zone, program, folder, links } = options;
   const [callers = '', readiness = '', directory = '', peers = '', tables = '', metrics = ''] =
     await findFreeAddresses(6);
   const storeProxy = await startProxy(options.storeAddress);
@@ -106,6 +110,7 @@
     directory,
     address: callers,
     storeProxy,
+    links,
     signal: (signal) => {
       if (DISTURBING_SIGNALS.has(signal)) beginDisturbance();
       else if (signal === 'SIGCONT' && !wasSignalled) endDisturbance();
@@ -122,6 +127,7 @@
       child.kill('SIGCONT');
       child.kill('SIGKILL');
       storeProxy.close();
+      links.close();
     },
   };
 }
--- a/measurements/faultSoak/startSoakSite.ts
+++ b/measurements/faultSoak/startSoakSite.ts
@@ -3,8 +3,13 @@
 import { createConfiguration } from '../../platform/standins/createConfiguration';
 import type { EngineOptions } from '../../platform/standins/engineStandin';
 import { startEngine } from '../../platform/standins/startEngine';
+import type { EngineStandin } from '../../platform/standins/engineStandin';
+import type { StoreStandin } from '../../platform/standins/startStore';
 import { startStore } from '../../platform/standins/startStore';
+import type { ServerLinks } from './startServerLinks';
+import { startServerLinks } from './startServerLinks';
 import type { SoakSite } from './soakFaults';
+import type { GatewayProcess, GatewayProcessOptions } from './startGatewayProcess';
 import { startGatewayProcess } from './startGatewayProcess';
 
 export interface SoakSiteOptions {
@@ -23,10 +28,20 @@
 export async function startSoakSite(options: SoakSiteOptions): Promise<SoakSite> {
   const { folder, program, serverHooks } = options;
   const store = await startStore();
+  const linkSets: ServerLinks[] = [];
+  const hooks = {
+    ...serverHooks,
+    onRun: (requestId: string, server: string, stages: string) => {
+      serverHooks.onRun(requestId, server, restoreAddresses(stages, linkSets));
+    },
+    onStages: (requestId: string, server: string, stages: string) => {
+      serverHooks.onStages(requestId, server, restoreAddresses(stages, linkSets));
+    },
+  };
   const engineZones = DOMAINS.flatMap((zone) => [zone, zone, zone].map((name) => ({ zone: name })));
   const engines = await Promise.all([
     ...engineZones.map(({ zone }, index) =>
-      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, ...serverHooks }),
+      startEngine({ id: `m${index}`, service: 'draft', zone, kind: 'card', store, ...hooks }),
     ),
     ...DOMAINS.map((zone) =>
       startEngine({
@@ -35,21 +50,51 @@
         zone,
         kind: undefined,
         store,
-        ...serverHooks,
+        ...hooks,
       }),
     ),
   ]);
   store.put('op', 'config', createConfiguration());
   const gateways = await Promise.all(
     Array.from({ length: GATEWAY_COUNT }, (_, index) =>
-      startGatewayProcess({
+      startLinkedGateway(store, engines, {
         name: `vm-${index}`,
         zone: DOMAINS[index % DOMAINS.length] ?? 'a',
         program,
         folder,
-        storeAddress: store.address,
       }),
     ),
   );
+  linkSets.push(...gateways.map(({ links }) => links));
   return { store, engines, gateways };
 }
+
+/** Starts a VM that reaches each server by a link of its own, at an address that only this VM reads in the store. */
+async function startLinkedGateway(
+  store: StoreStandin,
+  engines: readonly EngineStandin[],
+  options: Omit<GatewayProcessOptions, 'storeAddress' | 'links'>,
+): Promise<GatewayProcess> {
+  const links = await startServerLinks(engines.map(({ address }) => address));
+  const storeAddress = await store.openView((table, value) =>
+    table === 'servers' ? replaceAddress(value, links.toLink) : value,
+  );
+  return startGatewayProcess({ ...options, storeAddress, links });
+}
+
+function replaceAddress(value: string, toLink: (address: string) => string): string {
+  const entry = JSON.parse(Buffer.from(value, 'base64').toString()) as { readonly address: string };
+  const linked = { ...entry, address: toLink(entry.address) };
+  return Buffer.from(JSON.stringify(linked)).toString('base64');
+}
+
+/** Names the servers of a path by their own addresses again. */
+function restoreAddresses(stages: string, linkSets: readonly ServerLinks[]): string {
+  if (stages === '') return stages;
+  const restore = (stage: string): string => {
+    const [link = '', layers = ''] = stage.split('=');
+    const address = linkSets.map(({ toServer }) => toServer(link)).find(Boolean);
+    return `${address ?? link}=${layers}`;
+  };
+  return stages.split(',').map(restore).join(',');
+}
--- a/standins/proxy/startProxy.ts
+++ b/standins/proxy/startProxy.ts
@@ -9,9 +9,10 @@
  * `mute` keeps connections open and drops all bytes; `deaf` drops only the bytes of the caller. A
  * direction that dropped bytes stays blocked in later modes, because TCP never delivers later bytes
  * without the earlier ones. `hold` drops nothing: bytes, ends and new connections wait for the next mode.
- * `down` listens no longer, as after the end of a process; the next mode listens at the same address again.
+ * `down` listens no longer, as after the end of a process, while open connections live; `cut` holds these too.
+ * The next mode listens at the same address again.
  */
-export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse' | 'hold' | 'down';
+export type ProxyMode = 'pass' | 'slow' | 'mute' | 'deaf' | 'refuse' | 'hold' | 'down' | 'cut';
 
 export interface FaultProxy {
   readonly address: string;
@@ -27,6 +28,9 @@
 /** Delay before another try to listen at an address that is taken for the moment. */
 const LISTEN_RETRY_MS = 50;
 
+const HOLDING_MODES: ReadonlySet<ProxyMode> = new Set(['hold', 'cut']);
+const CLOSED_MODES: ReadonlySet<ProxyMode> = new Set(['down', 'cut']);
+
 /** Starts a proxy in front of an address. */
 export async function startProxy(target: string): Promise<FaultProxy> {
   const [host, port] = target.split(':');
@@ -35,7 +39,7 @@
   let mode: ProxyMode = 'pass';
   let isClosed = false;
   const untilReleased = async (): Promise<void> => {
-    while (mode === 'hold') await new Promise<void>((resolve) => waiters.add(resolve));
+    while (HOLDING_MODES.has(mode)) await new Promise<void>((resolve) => waiters.add(resolve));
   };
   const track = (socket: Socket): void => {
     open.add(socket);
@@ -49,7 +53,7 @@
     let tail = Promise.resolve();
     /** Keeps bytes in order when `slow` or `hold` mode ends between two chunks. */
     const enqueue = (work: () => void): void => {
-      if (mode !== 'slow' && mode !== 'hold' && pendingCount === 0) {
+      if (mode !== 'slow' && !HOLDING_MODES.has(mode) && pendingCount === 0) {
         work();
         return;
       }
@@ -72,7 +76,7 @@
     });
     from.on('close', (hadError) => {
       if (!hadError) return;
-      if (mode === 'hold') enqueue(() => to.resetAndDestroy());
+      if (HOLDING_MODES.has(mode)) enqueue(() => to.resetAndDestroy());
       else to.resetAndDestroy();
     });
   };
@@ -99,7 +103,8 @@
   });
   const address = await listenOnLoopback(server);
   const listenAgain = (): void => {
-    if (mode !== 'down' && !isClosed) server.listen(Number(address.split(':')[1]), '127.0.0.1');
+    if (!CLOSED_MODES.has(mode) && !isClosed)
+      server.listen(Number(address.split(':')[1]), '127.0.0.1');
   };
   server.on('error', () => {
     setTimeout(listenAgain, LISTEN_RETRY_MS);
@@ -110,10 +115,10 @@
   return {
     address,
     setMode: (next) => {
-      const before = mode;
+      const wasClosed = CLOSED_MODES.has(mode);
       mode = next;
-      if (next === 'down' && before !== 'down') server.close();
-      if (next !== 'down' && before === 'down') listenAgain();
+      if (CLOSED_MODES.has(next) && !wasClosed) server.close();
+      if (!CLOSED_MODES.has(next) && wasClosed) listenAgain();
       for (const waiter of waiters) waiter();
       waiters.clear();
     },
