Serve callers of a partitioned VM by another VM

Cause: a request could be served only by the VM that took it. Such a VM suspected all servers one by one and refused. Ruled out: suspicions that spread (the others suspected none).

A VM that finds itself partitioned sends its requests to another one that is not, over the listener for VMs. The other checks the credential, counts attempts and retries, and keeps limits as for its own; it gets the servers that may have run the request, the time left, the last event and the version of the catalog, and leaves the request to a third VM if it can't decide. Nothing is forwarded twice. A partitioned VM tells the others, reports no suspicions, sends no probes, gives the placement of layers up, and takes back what it suspected since the partition began, if another VM reached servers meanwhile; so its return costs the servers no burst of probes. Without such a VM all is as before: a partition can't be told from the failure of all servers.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -11,18 +11,26 @@
 import { matchRoute } from '../../catalog/matchRoute';
 import { pickService } from '../../catalog/pickService';
 import { fingerprint } from '../../hashing/fingerprint';
+import type { ForwardedRequest } from '../../gateway/forwardedRequest';
+import { decodeForwardedRequest, FORWARDED_HEADER } from '../../gateway/forwardedRequest';
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { ELSEWHERE } from './openPeerExchange';
 import { readRequestBody } from './readRequestBody';
 import { refuseJob } from './refuseJob';
 import type { RefusalOptions, RefusalReason } from './refuseJob';
 import { serveCall } from './serveCall';
 import { serveStream } from './serveStream';
 
+type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
 export interface Gateway {
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Handles a caller's request. */
+  readonly handle: RequestHandler;
+  /** Handles a request that another VM took from its caller. */
+  readonly handleForwarded: RequestHandler;
   /** Number of requests whose response has not ended. */
   readonly active: () => number;
 }
@@ -84,7 +92,11 @@
     refuseJob(response, reason, host.protocol, refusal);
   };
 
-  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const serve = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded?: ForwardedRequest,
+  ): Promise<void> => {
     const arrivedMs = host.now();
     const retryAfterMs = hasPeers() ? PEER_RETRY_MS : NO_PEER_RETRY_MS;
     const retryOptions = { retryAfterMs, isLast: true };
@@ -120,7 +132,9 @@
     }
     const workspace = access.credential?.workspace;
     const { body } = read;
-    const job = createJob({ request, response, rule, profile, workspace, arrivedMs, body });
+    const { version: catalogVersion } = currentCatalog;
+    const accepted = { request, response, rule, profile, workspace, arrivedMs, body };
+    const job = createJob({ ...accepted, catalogVersion, forwarded });
     const heldMs = host.contentSuspicions.heldMs(job.contents);
     if (heldMs > 0) {
       refuse(request, response, 'held-back', { retryAfterMs: heldMs });
@@ -154,10 +168,12 @@
     readonly workspace: string | undefined;
     readonly arrivedMs: number;
     readonly body: Buffer | undefined;
+    readonly catalogVersion: number;
+    readonly forwarded: ForwardedRequest | undefined;
   }
 
   const createJob = (accepted: AcceptedRequest): Job => {
-    const { request, response, rule, profile, workspace, arrivedMs, body } = accepted;
+    const { request, response, rule, profile, workspace, arrivedMs, body, forwarded } = accepted;
     let isSent = false;
     const head = host.protocol.readRequest(request.headers);
     const { method = 'GET', url = '/', headers } = request;
@@ -182,7 +198,10 @@
       contents: listContents({ request: content, service: profile.name, sharedParts }),
       response,
       arrivedMs,
-      isRetry: retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
+      forwarded,
+      catalogVersion: accepted.catalogVersion,
+      isRetry:
+        forwarded?.isRetry ?? retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
       expiresMs: arrivedMs + Math.max(1, limitMs - EXPIRY_MARGIN_MS),
       markSent: () => {
         isSent = true;
@@ -195,20 +214,40 @@
     };
   };
 
+  const handle = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded?: ForwardedRequest,
+  ): void => {
+    active += 1;
+    response.setMaxListeners(0);
+    response.once('close', () => {
+      active -= 1;
+    });
+    serve(request, response, forwarded).catch((error: unknown) => {
+      host.log('request failed', {
+        id: host.protocol.readRequest(request.headers).id,
+        error: error instanceof Error ? (error.stack ?? error.message) : String(error),
+      });
+      if (!response.writableEnded) refuseJob(response, 'unknown-outcome', host.protocol);
+    });
+  };
+  /** Whether this VM can decide on a request that another VM has accepted. */
+  const canServe = ({ catalogVersion }: ForwardedRequest): boolean =>
+    !isClosing() &&
+    isConfirmed() &&
+    !host.partition.isPartitioned() &&
+    (catalog()?.version ?? -1) >= catalogVersion;
   return {
     handle: (request, response) => {
-      active += 1;
-      response.setMaxListeners(0);
-      response.once('close', () => {
-        active -= 1;
-      });
-      serve(request, response).catch((error: unknown) => {
-        host.log('request failed', {
-          id: host.protocol.readRequest(request.headers).id,
-          error: error instanceof Error ? (error.stack ?? error.message) : String(error),
-        });
-        if (!response.writableEnded) refuseJob(response, 'unknown-outcome', host.protocol);
-      });
+      handle(request, response);
+    },
+    handleForwarded: (request, response) => {
+      const { [FORWARDED_HEADER]: text, ...headers } = request.headers;
+      const forwarded = decodeForwardedRequest(String(text));
+      request.headers = headers;
+      if (forwarded !== undefined && canServe(forwarded)) handle(request, response, forwarded);
+      else refuse(request, response, ELSEWHERE, { isLast: true });
     },
     active: () => active,
   };
--- a/src/adapters/gateway/refuseJob.ts
+++ b/src/adapters/gateway/refuseJob.ts
@@ -7,6 +7,8 @@
 export type RefusalReason =
   | 'not-run'
   | 'held-back'
+  /** This VM cannot serve a request that another VM sent; the other may ask a third. */
+  | 'elsewhere'
   | 'expired-not-run'
   | 'expired'
   | 'unknown-outcome'
@@ -19,6 +21,7 @@
 const STATUS: Readonly<Record<RefusalReason, number>> = {
   'not-run': 503,
   'held-back': 503,
+  elsewhere: 503,
   'expired-not-run': 503,
   expired: 504,
   'unknown-outcome': 502,
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -196,7 +196,7 @@
         targetMs: job.rule.targetMs,
         targetGapMs: job.rule.targetGapMs,
         entryEngineSilentMs: nowMs - registry.lastEventMs(entry.id),
-        isEntrySuspected: move.isEntryDoubtful(),
+        isEntrySuspected: move.isEntryDoubtful() || host.partition.isPartitioned(),
         isRunGone,
         hasBegun: progress.events > 0,
         sinceArrivalMs: nowMs - job.arrivedMs,
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -7,6 +7,7 @@
  */
 
 import type { ServerReply } from './callServer';
+import type { PeerRecord } from '../../peers/peer';
 import type { CallEnd } from '../../gateway/chooseCallRefusal';
 import { chooseCallRefusal } from '../../gateway/chooseCallRefusal';
 import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
@@ -16,6 +17,8 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import { mayMoveCall } from '../../gateway/mayMoveCall';
 import type { ChosenServer } from './findCallServer';
+import { findForwardingPeer } from './findForwardingPeer';
+import { forwardCall } from './forwardCall';
 import { findCallServer } from './findCallServer';
 import { refuseJob } from './refuseJob';
 import { tryCallServer } from './tryCallServer';
@@ -35,18 +38,40 @@
 /** Resolves when the request is answered or its caller has left. */
 export async function serveCall(host: GatewayHost, job: Job, history: CallHistory): Promise<void> {
   const { rule, profile } = job;
-  const servers = new Set<string>();
+  const servers = new Set(job.forwarded?.servers);
   const triedIds = new Set<string>();
   let mayTrySuspected = true;
   let failedBy: string | undefined;
   let fallback: ServerReply | undefined;
   let failures = 0;
-  const ends: CallEnd[] = [];
+  const ends: CallEnd[] = [...servers].map(() => 'unknown');
+  /** VMs that the call was forwarded to. */
+  const triedPeers = new Set<string>();
+  const findPeer = (): PeerRecord | undefined => findForwardingPeer(host, job, triedPeers);
+  let isCounted = job.forwarded?.isCounted === true;
   let next: ChosenServer | undefined;
   /** Whether a retry was spent and no server has received the request since. */
   let hasRetry = false;
-  host.retryBudgets.recordRequest(profile.name);
   for (let tries = 0; tries < MAX_TRIES && !job.isOver(); tries += 1) {
+    const peer = findPeer();
+    if (peer !== undefined) {
+      triedPeers.add(peer.vm);
+      const outcome = await forwardCall(host, { job, peer, servers: [...servers], isCounted });
+      isCounted = true;
+      if (outcome.type === 'stopped') return;
+      if (outcome.type === 'answered') {
+        fallback = outcome.reply;
+        break;
+      }
+      ends.push(outcome.type);
+      if (outcome.type !== 'unknown') continue;
+      // At least one server may have run it there.
+      servers.add(`vm ${peer.vm}`);
+      if (!rule.isIdempotent) break;
+      continue;
+    }
+    if (!isCounted) host.retryBudgets.recordRequest(profile.name);
+    isCounted = true;
     const choice: ChosenServer | undefined =
       next ??
       findCallServer(host, job, history, {
@@ -72,6 +97,7 @@
     const takeNext = (): ChosenServer | undefined => takeNextServer(host, job, history, sentTo);
     const { outcome, movedTo } = await tryCallServer(host, job, history, choice, {
       takeNext: mayMove ? takeNext : undefined,
+      isPeerAtHand: () => findPeer() !== undefined,
     });
     next = movedTo;
     hasRetry = movedTo !== undefined || (hasRetry && outcome.type === 'unreached');
@@ -81,6 +107,7 @@
     if (outcome.type === 'unreached') {
       const reason = outcome.isRefused ? 'refused' : 'unreached';
       host.registry.suspect(server.id, reason, outcome.detail);
+      await host.partition.verify();
       continue;
     }
     servers.add(server.id);
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -5,9 +5,12 @@
 
 import type { Stage } from '../../chains/layerEngine';
 import type { PipelineModel } from '../../chains/pipelineModel';
+import type { PeerRecord } from '../../peers/peer';
 import type { AdmissionQueue } from './createAdmissionQueue';
 import { createHarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { findForwardingPeer } from './findForwardingPeer';
+import { forwardStream } from './forwardStream';
 import { finishStream } from './finishStream';
 import type { StreamLimit } from './finishStream';
 import { reserveStreamChain } from './reserveStreamChain';
@@ -37,9 +40,13 @@
     lastActivityMs: job.arrivedMs,
   };
   const tokens = estimateTokens(job);
-  let sentAttempts = 0;
   /** Servers that may have run the request; a server that is silent afterwards still counts. */
-  const runServers = new Set<string>();
+  const runServers = new Set(job.forwarded?.servers);
+  let sentAttempts = runServers.size;
+  let isCounted = job.forwarded?.isCounted === true;
+  /** VMs that the stream was forwarded to. */
+  const triedPeers = new Set<string>();
+  const findPeer = (): PeerRecord | undefined => findForwardingPeer(host, job, triedPeers);
   /** Whether a retry was spent for the next attempt. */
   let isRetrySpent = false;
   /** A chain that a silent stream may move to. */
@@ -56,6 +63,7 @@
     if (host.contentSuspicions.isSuspect(job.contents)) return 'held back';
     const excluded = new Set([...runServers, entry]);
     if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
+    if (findPeer() !== undefined) return undefined;
     const hasBegun = progress.events > 0;
     prepared = reserveStreamChain(host, job, { tokens, hasBegun, excluded });
     if (prepared === undefined) return 'no chain';
@@ -64,7 +72,6 @@
     prepared = undefined;
     return 'retry budget';
   };
-  host.retryBudgets.recordRequest(profile.name);
   for (let attempt = 0; attempt < MAX_ATTEMPTS && !job.isOver(); attempt += 1) {
     const entries = runServers.size < rule.maxAttempts ? undefined : runServers;
     const hasBegun = progress.events > 0;
@@ -73,6 +80,32 @@
       limit = 'held back';
       break;
     }
+    const peer = findPeer();
+    if (peer !== undefined) {
+      triedPeers.add(peer.vm);
+      const servers = [...runServers];
+      const onProgress = (next: StreamProgress): void => {
+        progress = next;
+      };
+      const options = { job, peer, servers, isCounted, progress, onProgress };
+      const outcome = await forwardStream(host, options);
+      isCounted = true;
+      if (outcome.type === 'stopped') return;
+      lastOutcome = outcome;
+      if (outcome.type === 'complete') {
+        job.response.end();
+        return;
+      }
+      if (outcome.type === 'answered') break;
+      if (outcome.type !== 'broken') continue;
+      // At least one server may have run it there.
+      runServers.add(`vm ${peer.vm}`);
+      sentAttempts += 1;
+      if (!rule.isResumable) break;
+      continue;
+    }
+    if (!isCounted) host.retryBudgets.recordRequest(profile.name);
+    isCounted = true;
     const chain =
       prepared ?? (await waitForStreamChain(host, job, queue, { tokens, hasBegun, entries }));
     prepared = undefined;
@@ -114,6 +147,7 @@
       const reason = outcome.isRefused === true ? 'refused' : 'unreached';
       host.registry.suspect(entry, reason, outcome.detail);
       isRetrySpent = usedRetry;
+      await host.partition.verify();
     } else sentAttempts += 1;
     if (outcome.type === 'complete') {
       if (outcome.isFramed) host.contentSuspicions.recordHarmlessRun(job.contents);
--- a/src/adapters/gateway/shareReports.ts
+++ b/src/adapters/gateway/shareReports.ts
@@ -1,9 +1,11 @@
 /** Exchanges with the other VMs what this VM has seen of backend servers, beside the heartbeats. */
 
 import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
+import type { PartitionDetector } from '../../gateway/createPartitionDetector';
 import type { RequestLimits } from '../../gateway/createRequestLimits';
 import type { PeerGroup } from './createPeerGroup';
 import { shareContentSuspicions } from './shareContentSuspicions';
+import { sharePartitions } from './sharePartitions';
 import { shareRequestLimits } from './shareRequestLimits';
 
 export interface ReportSharing {
@@ -11,30 +13,45 @@
   readonly receive: (datagram: Uint8Array) => void;
   /** Tells a VM that has just started what it has missed. */
   readonly greet: () => void;
+  /** Whether another VM says that it reaches no backend server. */
+  readonly isPartitioned: (vm: string) => boolean;
   readonly close: () => void;
 }
 
 export interface SharedState {
   readonly contentSuspicions: ContentSuspicions;
   readonly limits: RequestLimits;
+  readonly partition: PartitionDetector;
+}
+
+export interface ReportSharingOptions {
+  /** Name of this VM. */
+  readonly vm: string;
+  readonly peers: Pick<PeerGroup, 'broadcast'>;
+  /** Monotonic clock, milliseconds. */
+  readonly now: () => number;
 }
 
 /** Starts the exchange. */
 export function shareReports(
-  { contentSuspicions, limits }: SharedState,
-  peers: Pick<PeerGroup, 'broadcast'>,
+  { contentSuspicions, limits, partition }: SharedState,
+  { vm, peers, now }: ReportSharingOptions,
 ): ReportSharing {
   const contents = shareContentSuspicions(contentSuspicions, peers);
   const sharedLimits = shareRequestLimits(limits, peers);
+  const partitions = sharePartitions({ vm, partition, broadcast: peers.broadcast, now });
   return {
     receive: (datagram) => {
       contents.receive(datagram);
       sharedLimits.receive(datagram);
+      partitions.receive(datagram);
     },
     greet: sharedLimits.sendSoon,
+    isPartitioned: partitions.isPartitioned,
     close: () => {
       contents.close();
       sharedLimits.close();
+      partitions.close();
     },
   };
 }
--- a/src/adapters/gateway/tryCallServer.ts
+++ b/src/adapters/gateway/tryCallServer.ts
@@ -19,6 +19,8 @@
 export interface CallTryOptions {
   /** Takes a server that the call can move to, if there is one; without it, the call stays. */
   readonly takeNext: (() => ChosenServer | undefined) | undefined;
+  /** Whether another VM can take the call; used where `takeNext` is given. */
+  readonly isPeerAtHand: () => boolean;
 }
 
 /** Multiple of the target latency after which a silent server's call may move to another server. */
@@ -33,15 +35,16 @@
   job: Job,
   history: CallHistory,
   { server, isSuspected }: ChosenServer,
-  { takeNext }: CallTryOptions,
+  { takeNext, isPeerAtHand }: CallTryOptions,
 ): Promise<CallTryResult> {
   const startedMs = host.now();
   const call = callServer(host, job, server);
   let movedTo: ChosenServer | undefined;
   let timer: NodeJS.Timeout | undefined;
   const moveOrWait = (): void => {
-    movedTo = takeNext?.();
-    if (movedTo === undefined) timer = setTimeout(moveOrWait, MOVE_INTERVAL_MS);
+    const isPeerTaking = isPeerAtHand();
+    movedTo = isPeerTaking ? undefined : takeNext?.();
+    if (movedTo === undefined && !isPeerTaking) timer = setTimeout(moveOrWait, MOVE_INTERVAL_MS);
     else call.abandon('no answer in time');
   };
   if (takeNext !== undefined)
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -121,6 +121,11 @@
     headers: IncomingHttpHeaders,
     forwarding: Forwarding,
   ) => OutgoingHttpHeaders;
+  /** Headers of a request that another VM is to serve. */
+  readonly peerHeaders: (
+    headers: IncomingHttpHeaders,
+    changed: Pick<Forwarding, 'deadlineMs' | 'lastEventId'>,
+  ) => OutgoingHttpHeaders;
   readonly readReply: (status: number, headers: IncomingHttpHeaders) => ReplyHead;
   /** The reply's headers without hop-by-hop headers. */
   readonly replyHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
--- a/src/gateway/createPartitionDetector.test.ts
+++ b/src/gateway/createPartitionDetector.test.ts
@@ -7,6 +7,7 @@
 function createDetector(listed = servers) {
   let nowMs = 0;
   let resultOf: (address: string) => Check = () => 'accepted';
+  let isPending: (address: string) => boolean = () => false;
   const later: (() => void)[] = [];
   const checked: string[] = [];
   const changes: [boolean, number][] = [];
@@ -14,6 +15,7 @@
     servers: () => listed,
     checkConnection: (address) => {
       checked.push(address);
+      if (isPending(address)) return new Promise<Check>(() => undefined);
       return Promise.resolve(resultOf(address));
     },
     now: () => nowMs,
@@ -33,6 +35,9 @@
     setResults: (next: (address: string) => Check) => {
       resultOf = next;
     },
+    setPending: (next: (address: string) => boolean) => {
+      isPending = next;
+    },
     runLater: () => {
       for (const run of later.splice(0)) run();
     },
@@ -55,7 +60,7 @@
     detector.trackConnection();
     expect(checked).toEqual([]);
     runLater();
-    expect(checked).toHaveLength(4);
+    expect(checked).toHaveLength(6);
     expect(await detector.verify()).toBe(true);
   });
 
@@ -73,6 +78,12 @@
     expect(await detector.verify()).toBe(false);
   });
 
+  it('does not wait for servers that do not answer once one has accepted', async () => {
+    const { detector, setPending } = createDetector();
+    setPending((address) => address !== 'a:1');
+    expect(await detector.verify()).toBe(false);
+  });
+
   it('believes a connection that succeeds while others are checked', async () => {
     const { detector, setResults } = createDetector();
     setResults(() => 'silent');
--- a/src/gateway/createPartitionDetector.ts
+++ b/src/gateway/createPartitionDetector.ts
@@ -43,8 +43,8 @@
 /** Time after which an opening connection is late, many times the longest round trip, milliseconds. */
 const LATE_CONNECTION_MS = 80;
 
-/** Servers that are checked at once. */
-const CHECKED_SERVERS = 4;
+/** Servers that are checked at once: a VM that misses some servers must not seem to miss all. */
+const CHECKED_SERVERS = 8;
 
 /** Creates a detector of a VM that is not partitioned. */
 export function createPartitionDetector(options: PartitionDetectorOptions): PartitionDetector {
@@ -68,18 +68,27 @@
       .sort((one, other) => one.rank - other.rank)
       .slice(0, CHECKED_SERVERS)
       .map(({ server }) => server);
-  /** Resolves to whether one of some servers accepts a connection; undefined if none is listed. */
+  const checkServer = async ({ address }: Server): Promise<boolean> => {
+    const isAccepted = (await checkConnection(address)) === 'accepted';
+    if (isAccepted) recordSuccess();
+    return isAccepted;
+  };
+  /**
+   * Resolves to whether one of some servers accepts a connection, as soon as one does; undefined if none is
+   * listed.
+   */
   const checkSome = async (): Promise<boolean | undefined> => {
-    const checked = chooseServers();
-    if (checked.length === 0) return undefined;
-    const results = await Promise.all(
-      checked.map(async ({ address }) => {
-        const isAccepted = (await checkConnection(address)) === 'accepted';
-        if (isAccepted) recordSuccess();
-        return isAccepted;
-      }),
-    );
-    return results.includes(true);
+    const checks = chooseServers().map(checkServer);
+    if (checks.length === 0) return undefined;
+    const accepted = new Promise<boolean>((resolve) => {
+      for (const check of checks) {
+        void check.then((isAccepted) => {
+          if (isAccepted) resolve(true);
+        });
+      }
+    });
+    const none = Promise.all(checks).then((results) => results.includes(true));
+    return Promise.race([accepted, none]);
   };
   const runVerification = async (): Promise<boolean> => {
     const startedMs = now();
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -36,6 +36,8 @@
   readonly protocol: BackendProtocol;
   /** Undefined for a service that the catalog does not contain. */
   readonly profileOf: (service: string) => ServiceProfile | undefined;
+  /** Whether this VM reaches no backend server, so that a query would tell nothing. */
+  readonly isPartitioned?: () => boolean;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -54,6 +56,7 @@
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
   const { registry, protocol, profileOf, now, log } = options;
+  const { isPartitioned = () => false } = options;
   const evidenceOf = (id: string): Evidence => {
     const profile = profileOf(registry.find(id)?.service ?? '');
     if (profile === undefined || profile.model !== undefined) return 'report';
@@ -75,6 +78,7 @@
   const fetchReport = async (id: string): Promise<ReportResult> => {
     const server = registry.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
+    if (isPartitioned()) return { type: 'failed', detail: 'partitioned' };
     if (registry.quietMs(id) > 0) return { type: 'failed', detail: 'wants no requests' };
     if (registry.limitWaitMs(id, 'control') > 0) return checkConnection(server);
     registry.recordControl(id);
@@ -98,8 +102,8 @@
   const checkHealth = async (id: string): Promise<HealthResult | undefined> => {
     const server = registry.find(id);
     const healthPath = profileOf(server?.service ?? '')?.healthPath;
-    if (server === undefined || healthPath === undefined || registry.quietMs(id) > 0)
-      return undefined;
+    const isLeftAlone = isPartitioned() || registry.quietMs(id) > 0;
+    if (server === undefined || healthPath === undefined || isLeftAlone) return undefined;
     if (registry.limitWaitMs(id, 'control') > 0) {
       await checkConnection(server);
       return undefined;
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -2,11 +2,13 @@
 
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { RouteRule, ServiceProfile } from '../catalog/catalog';
+import type { PeerRecord } from '../peers/peer';
 import type { BackendProtocol, RequestHead } from './backendProtocol';
 import type { ContentSuspicions } from './createContentSuspicions';
 import type { ServerRegistry } from './serverRegistry';
 import type { RetryBudgets } from './createRetryBudgets';
 import type { PartitionDetector } from './createPartitionDetector';
+import type { ForwardedRequest } from './forwardedRequest';
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ServerProbes } from './createServerProbes';
 import type { StreamWatch } from './streamWatch';
@@ -29,6 +31,10 @@
   readonly response: ServerResponse;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
+  /** Set if another VM took the request from the caller. */
+  readonly forwarded: ForwardedRequest | undefined;
+  /** Version of the catalog by which the request was accepted. */
+  readonly catalogVersion: number;
   /** The caller has probably sent the request before, so the answer is already late. */
   readonly isRetry: boolean;
   /** Time at which the caller's deadline or the route's timeout expires, monotonic, milliseconds. */
@@ -56,7 +62,11 @@
   readonly partition: PartitionDetector;
   readonly watch: StreamWatch;
   readonly firstEventDelays: FirstEventDelays;
+  /** Name of this VM. */
+  readonly vm: string;
   readonly failureDomain: string;
+  /** Chooses a VM that may reach the backend servers, of those that accept callers; undefined if there is none. */
+  readonly choosePeer: (except: ReadonlySet<string>) => PeerRecord | undefined;
   /** Time for which a draining backend server still serves, milliseconds. */
   readonly drainMs: number;
   /** Whether this VM has just started and knows little of the load on the backend servers. */
--- a/src/node/createBackendView.ts
+++ b/src/node/createBackendView.ts
@@ -11,12 +11,15 @@
 import { createServerProbes } from '../gateway/createServerProbes';
 import { createServerRegistry } from '../gateway/createServerRegistry';
 import type { GatewayHost, LogFields } from '../gateway/job';
+import type { ServerRegistry } from '../gateway/serverRegistry';
 
 export interface BackendView extends Pick<
   GatewayHost,
   'registry' | 'probes' | 'partition' | 'contentSuspicions' | 'firstEventDelays'
 > {
   readonly limits: RequestLimits;
+  /** The registry as other VMs hear of it: what a partitioned VM suspects says nothing about the servers. */
+  readonly reportedRegistry: ServerRegistry;
 }
 
 export interface BackendViewOptions {
@@ -24,6 +27,8 @@
   readonly vm: string;
   /** Names of all VMs that may send to backend servers; undefined while they are unknown. */
   readonly vms: () => readonly string[] | undefined;
+  /** Whether another VM reaches backend servers; without one, a partition can't be told from their failure. */
+  readonly hasReachingPeers: () => boolean;
   readonly protocol: BackendProtocol;
   /** Undefined before the first catalog is known. */
   readonly catalog: () => Catalog | undefined;
@@ -33,9 +38,12 @@
   readonly count: (counter: string, label?: string) => void;
 }
 
+/** Time for which a partition may have lasted before it is found, milliseconds. */
+const UNNOTICED_MS = 500;
+
 /** Creates a view without servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-  const { vm, vms, protocol, catalog, now, log, count } = options;
+  const { vm, vms, hasReachingPeers, protocol, catalog, now, log, count } = options;
   const firstEventDelays = createFirstEventDelays(now);
   const limits = createRequestLimits({ now, log, count, vm, vms, random: Math.random });
   const registry = createServerRegistry({ now, firstEventDelays, log, count, callLater, limits });
@@ -48,18 +56,44 @@
     count,
     callLater,
   });
+  // What was suspected shortly before and during a partition is explained by it.
+  partition.onChange((isPartitioned, beganMs) => {
+    if (isPartitioned || !hasReachingPeers()) return;
+    for (const { id, sinceMs, reason } of registry.suspicions()) {
+      const isExplained = sinceMs >= beganMs - UNNOTICED_MS && reason !== 'restarted';
+      if (isExplained) registry.clearSuspicion(id);
+    }
+  });
+  /** A server that a partitioned VM does not reach may be sound. */
+  const onEnded: ServerRegistry['onEnded'] = (listener) => {
+    registry.onEnded((server) => {
+      void partition.verify().then((isPartitioned) => {
+        if (!isPartitioned || !hasReachingPeers()) listener(server);
+      });
+    });
+  };
   return {
     limits,
     partition,
     registry,
+    reportedRegistry: {
+      ...registry,
+      suspicions: () => (partition.isPartitioned() ? [] : registry.suspicions()),
+    },
     firstEventDelays,
     probes: createServerProbes({
       registry,
       protocol,
       profileOf: (service) => catalog()?.services.get(service),
+      isPartitioned: () => partition.isPartitioned() && hasReachingPeers(),
+      now,
+      log,
+    }),
+    contentSuspicions: createContentSuspicions({
+      registry: { onEnded, onAnswer: registry.onAnswer },
       now,
       log,
+      count,
     }),
-    contentSuspicions: createContentSuspicions({ registry, now, log, count }),
   };
 }
--- a/src/node/createGatewayTask.ts
+++ b/src/node/createGatewayTask.ts
@@ -16,6 +16,8 @@
   readonly executorClaim: ExecutorClaim;
   readonly placer: Placer;
   readonly storeHealth: StoreHealth;
+  /** VMs that may place layers: they accept callers and reach the engines. */
+  readonly listPlacers: () => readonly PeerRecord[];
   readonly isAccepting: () => boolean;
   readonly isStopping: () => boolean;
   /** Time between two runs, milliseconds. */
@@ -44,6 +46,9 @@
     const isRelayed = relays.length > 0 && !relays.some(({ vm }) => vm === self.vm);
     return isRelayed ? RELAYED_RECHECK_INTERVAL_MS : options.intervalMs;
   };
+  partition.onChange((isPartitioned) => {
+    if (isPartitioned) void executorClaim.release();
+  });
   let runs = 0;
   let wasAccepting = false;
   return () => {
@@ -55,7 +60,8 @@
     if (options.isStopping()) return;
     if (!membership.isRegistered() && runs % REGISTRATION_RETRY_RUNS === 0)
       void membership.register();
-    if (executorClaim.tick(peers.live()) && storeHealth.isReachable()) {
+    if (partition.isPartitioned()) return;
+    if (executorClaim.tick(options.listPlacers()) && storeHealth.isReachable()) {
       placer.tick();
       if (runs % CLEANUP_RUNS === 0) void membership.removeDeparted();
     }
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -13,6 +13,7 @@
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createPlacer } from '../adapters/gateway/createPlacer';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
+import { dispatchPeerRequest } from '../adapters/gateway/dispatchPeerRequest';
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
 import { shareReports } from '../adapters/gateway/shareReports';
@@ -24,6 +25,7 @@
 import type { GatewayHost, LogFields } from '../gateway/job';
 import { chooseLongPollTimings } from '../peers/chooseLongPollTimings';
 import type { LongPollTimings } from '../peers/chooseLongPollTimings';
+import { choosePeer } from '../peers/choosePeer';
 import { chooseAddresses } from '../peers/listLivePeers';
 import type { PeerRecord } from '../peers/peer';
 import { createBackendView } from './createBackendView';
@@ -98,6 +100,7 @@
   const backend = createBackendView({
     vm: settings.vm.name,
     vms: () => peers.members(),
+    hasReachingPeers: () => listReachingPeers().some(({ vm }) => vm !== self.vm),
     protocol,
     catalog: () => catalogFollower.current(),
     now,
@@ -149,7 +152,7 @@
 
   const peers = createPeerGroup({
     self,
-    registry,
+    registry: backend.reportedRegistry,
     isAccepting,
     ...checkReportedServers(registry, backend.probes),
     onDatagram: (datagram) => {
@@ -164,7 +167,10 @@
   // Streams of other VMs use the same engine. The announcement reaches those VMs before they can detect
   // a pause of their own streams.
   registry.onSuspected(peers.announceSoon);
-  const sharing = shareReports(backend, peers);
+  const sharing = shareReports(backend, { vm: self.vm, peers, now });
+  /** VMs that accept callers and may reach the backend servers. */
+  const listReachingPeers = (): readonly PeerRecord[] =>
+    peers.live().filter(({ vm }) => !sharing.isPartitioned(vm));
   const host: GatewayHost = {
     ...backend,
     protocol,
@@ -180,6 +186,9 @@
     watch: createStreamWatch(registry),
     isRecentlyStarted: () => now() - startedAtMs < RECENT_START_MS,
     vms: peers.size,
+    vm: self.vm,
+    choosePeer: (except) =>
+      choosePeer(listReachingPeers(), { self: self.vm, except, random: Math.random() }),
     failureDomain: self.failureDomain,
     drainMs: settings.servers.drain_ms,
     now,
@@ -229,6 +238,7 @@
     executorClaim,
     placer,
     storeHealth,
+    listPlacers: listReachingPeers,
     isAccepting,
     isStopping: () => stoppingSinceMs !== undefined,
     intervalMs: TASK_INTERVAL_MS,
@@ -236,7 +246,7 @@
   const taskTimer = setInterval(runTask, TASK_INTERVAL_MS);
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
   listen(callerServer, settings.listen.callers);
-  const tableServer = createServer(followContext.relay.handle);
+  const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
   listen(tableServer, settings.listen.tables);
   const auxiliaryServers = openAuxiliaryListeners({
     listen: settings.listen,
