--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -33,6 +33,11 @@
         default: true,
         describe: 'also have servers announce limits of requests',
       },
+      partitions: {
+        type: 'boolean',
+        default: true,
+        describe: 'also partition VMs from all servers',
+      },
       cases: {
         type: 'boolean',
         default: false,
@@ -47,6 +52,7 @@
         faults: argv.faults,
         fatalKinds: argv.fatal ? FATAL_KINDS : [],
         hasLimits: argv.limits,
+        hasPartitions: argv.partitions,
       });
   const program = await bundleDaemon();
   const failed: number[] = [];
--- a/measurements/faultSoak/runFaultSoak.test.ts
+++ b/measurements/faultSoak/runFaultSoak.test.ts
@@ -33,6 +33,19 @@
     MAX_RUN_MS,
   );
 
+  it(
+    'keeps every guarantee while servers announce limits and VMs are partitioned from them (seed 6)',
+    async () => {
+      const program = await bundleDaemon();
+      const options = { seed: 6, faults: 6, hasLimits: true, hasPartitions: true };
+      const run = await runFaultSoak({ ...options, program });
+      rmSync(dirname(program), { recursive: true });
+      expect(run.findings).toEqual([]);
+      expect(run.served).toBeGreaterThan(0);
+    },
+    MAX_RUN_MS,
+  );
+
   it.each(SOAK_CASES.filter(({ isInSuite }) => isInSuite))(
     'keeps every guarantee in a run that has failed (seed $seed, $faults faults)',
     async ({ seed, faults }) => {
--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -18,6 +18,7 @@
 import type { FatalKind } from './createFatalCallers';
 import { createLimitRecord } from './createLimitRecord';
 import { startLimits } from './startLimits';
+import { startPartitions } from './startPartitions';
 import { SOAK_FAULTS } from './soakFaults';
 import type { SoakSite } from './soakFaults';
 import type { SoakLedger } from './soakLedger';
@@ -34,6 +35,8 @@
   readonly fatalKinds?: readonly FatalKind[];
   /** Whether servers announce limits of requests. */
   readonly hasLimits?: boolean;
+  /** Whether VMs are partitioned from all servers. */
+  readonly hasPartitions?: boolean;
 }
 
 export interface FaultSoakRun {
@@ -59,6 +62,7 @@
 /** Keep the seeds of what else happens apart from those of faults and sound requests. */
 const FATAL_SEED_OFFSET = 1_000_000;
 const LIMIT_SEED_OFFSET = 2_000_000;
+const PARTITION_SEED_OFFSET = 3_000_000;
 
 const noop = (): Promise<void> => Promise.resolve();
 
@@ -66,7 +70,7 @@
 
 /** Runs the faults and the requests that the seed determines. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakRun> {
-  const { seed, fatalKinds = [], hasLimits = false } = options;
+  const { seed, fatalKinds = [], hasLimits = false, hasPartitions = false } = options;
   const random = createRandom(seed);
   const ledger = createSoakLedger({
     layers: LAYERS,
@@ -103,6 +107,7 @@
   const reverts: Promise<void>[] = [];
   const traffic = caller.start(random.integer(1_000_000));
   const stopLimits = hasLimits ? startLimits(site, limitRecord, seed + LIMIT_SEED_OFFSET) : noop;
+  const stopPartitions = hasPartitions ? startPartitions(site, seed + PARTITION_SEED_OFFSET) : noop;
   const fatalTraffic = fatalCallers.map(({ start }) => start(site));
   for (let count = 0; count < options.faults; count += 1) {
     const name = random.pick(Object.keys(SOAK_FAULTS));
@@ -112,7 +117,7 @@
     await sleep(random.exponential(MEAN_FAULT_GAP_MS));
   }
   await Promise.all(reverts);
-  await stopLimits();
+  await Promise.all([stopLimits(), stopPartitions()]);
   await Promise.all([traffic, ...fatalTraffic].map(({ stop }) => stop()));
   if (!(await caller.waitUntilServing(MAX_RECOVERY_MS)))
     findings.push('nothing was served after the faults');
@@ -161,7 +166,9 @@
     const { address, sentMs, endedMs, outcome } = exchange;
     const gateway = gateways.find((one) => one.address === address);
     ledger.recordOutcome(id, outcome, {
-      wasGatewayDisturbed: gateway?.wasDisturbed(sentMs, endedMs) === true,
+      wasGatewayDisturbed:
+        gateway?.wasDisturbed(sentMs, endedMs) === true ||
+        gateway?.links.wasPartitioned(sentMs, endedMs) === true,
       elapsedMs: endedMs - sentMs,
     });
     return outcome.type === 'whole';
--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -14,6 +14,8 @@
   readonly fatalKinds?: readonly FatalKind[];
   /** Whether servers announce limits of requests. */
   readonly hasLimits?: boolean;
+  /** Whether VMs are partitioned from all servers. */
+  readonly hasPartitions?: boolean;
   readonly cause: string;
   /** Whether the case is part of the test suite. */
   readonly isInSuite: boolean;
