--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -85,6 +85,7 @@
   const site = await startSoakSite({
     folder,
     program: options.program,
+    hasLinks: hasPartitions,
     serverHooks: {
       onReceived: (server) => {
         limitRecord.recordReceived(server, performance.now());
--- a/measurements/faultSoak/startSoakSite.ts
+++ b/measurements/faultSoak/startSoakSite.ts
@@ -17,6 +17,11 @@
   readonly folder: string;
   /** Path of the bundled daemon. */
   readonly program: string;
+  /**
+   * Whether VMs can be partitioned from the servers. A link accepts connections to a server that has ended, and
+   * resets them.
+   */
+  readonly hasLinks?: boolean;
   /** What the servers call, and what ends them. */
   readonly serverHooks: Omit<EngineOptions, 'id' | 'service' | 'zone' | 'kind' | 'store'>;
 }
@@ -26,7 +31,7 @@
 
 /** Resolves when all parts have started; the VMs may not be ready yet. */
 export async function startSoakSite(options: SoakSiteOptions): Promise<SoakSite> {
-  const { folder, program, serverHooks } = options;
+  const { folder, program, serverHooks, hasLinks = false } = options;
   const store = await startStore();
   const linkSets: ServerLinks[] = [];
   const hooks = {
@@ -57,7 +62,7 @@
   store.put('op', 'config', createConfiguration());
   const gateways = await Promise.all(
     Array.from({ length: GATEWAY_COUNT }, (_, index) =>
-      startLinkedGateway(store, engines, {
+      startLinkedGateway(store, hasLinks ? engines : [], {
         name: `vm-${index}`,
         zone: DOMAINS[index % DOMAINS.length] ?? 'a',
         program,
