Keep a silent run until the one it moves to speaks

Cause: a move ended the first run before the second one was accepted. A reserved chain can still be refused by its engine, since other VMs reserve there too, and the retry for the move was spent by then. Change: the second run starts beside the first. The first of the two that speaks goes on, the other is ended; if the second is turned away, unreached or broken, the first is still there.

--- a/src/adapters/gateway/attemptOutcome.ts
+++ b/src/adapters/gateway/attemptOutcome.ts
@@ -17,5 +17,7 @@
       readonly isOversized?: boolean;
       readonly isLost?: boolean;
     }
+  /** Another attempt of the same stream spoke first; this one may have run. */
+  | { readonly type: 'overtaken' }
   /** The caller left or the deadline passed. */
   | { readonly type: 'stopped' };
--- a/src/adapters/gateway/createStreamMove.ts
+++ b/src/adapters/gateway/createStreamMove.ts
@@ -1,6 +1,6 @@
 /**
- * Moves a silent stream to another first engine. The run is ended only once another one can follow; until
- * then the engine may still go on.
+ * Moves a silent stream to another first engine. The run goes on until the other one speaks, since its engine
+ * may go on first, and the other may turn the stream away.
  */
 
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -9,7 +9,7 @@
 export interface StreamMove {
   /** Whether the first engine is suspected, has restarted or is not listed any more. */
   readonly isEntryDoubtful: () => boolean;
-  /** Ends the run if another one is prepared; without effect shortly after an earlier try. */
+  /** Starts another run if one can be prepared; without effect shortly after an earlier try. */
   readonly tryMove: (silentMs: number) => void;
 }
 
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -40,25 +40,36 @@
   readonly expectedEvents: number;
   readonly progress: StreamProgress;
   readonly onProgress: (progress: StreamProgress) => void;
+  /** Called before the attempt writes anything to the caller. */
+  readonly onSpeak: () => void;
   /** Prepares another attempt; returns what rules it out, undefined if the stream may move. */
   readonly prepareMove: () => StreamLimit | undefined;
+  /** Starts the prepared attempt; this one goes on until the other one speaks. */
+  readonly onMove: () => void;
 }
 
-/** Resolves with the outcome when the attempt has ended. */
-export function runStreamAttempt(
-  host: GatewayHost,
-  options: StreamAttemptOptions,
-): Promise<AttemptOutcome> {
-  return new Promise((resolve) => {
-    executeAttempt(host, options, resolve);
+export interface StreamAttempt {
+  /** Resolves when the attempt has ended. */
+  readonly outcome: Promise<AttemptOutcome>;
+  /** Ends the attempt with the outcome; without effect after its end. */
+  readonly end: (outcome: AttemptOutcome) => void;
+}
+
+/** Starts an attempt. */
+export function runStreamAttempt(host: GatewayHost, options: StreamAttemptOptions): StreamAttempt {
+  let end: StreamAttempt['end'] = () => undefined;
+  const outcome = new Promise<AttemptOutcome>((resolve) => {
+    end = executeAttempt(host, options, resolve);
   });
+  return { outcome, end };
 }
 
+/** @returns ends the attempt */
 function executeAttempt(
   host: GatewayHost,
   options: StreamAttemptOptions,
   resolve: (end: AttemptOutcome) => void,
-): void {
+): (outcome: AttemptOutcome) => void {
   const { job, model, tokens } = options;
   const { stages, reservation } = options.chain;
   const { protocol, registry, watch, now } = host;
@@ -73,7 +84,7 @@
   if (entry === undefined) {
     reservation.release();
     resolve({ type: 'unreached', detail: 'empty chain' });
-    return;
+    return () => undefined;
   }
 
   const chain = createChainRepair(host, {
@@ -114,6 +125,7 @@
   const deliver = (events: readonly StreamEvent[]): void => {
     const newEvents = events.filter(({ id }) => isNewer(id, progress.lastEventId));
     if (newEvents.length === 0) return;
+    options.onSpeak();
     const nowMs = now();
     for (const { id } of newEvents) {
       if (progress.events === 0) host.observe('first_event', nowMs - job.arrivedMs);
@@ -148,7 +160,10 @@
     }
     if (head.isLeaving) registry.recordLeaving(entry.id);
     if (status >= 200 && status < 300) {
-      writeStreamHead(job.response, protocol, status, reply.headers);
+      if (!job.response.headersSent) {
+        options.onSpeak();
+        writeStreamHead(job.response, protocol, status, reply.headers);
+      }
       readStreamEvents(reply, { isOver: () => isOver, onEvents: deliver, onEnd: endAttempt });
       return;
     }
@@ -181,9 +196,7 @@
     job,
     entry: entry.id,
     prepareMove: options.prepareMove,
-    onMove: () => {
-      endAttempt({ type: 'broken', detail: 'silent' });
-    },
+    onMove: options.onMove,
   });
   const watchedStream = {
     check: () => {
@@ -245,4 +258,5 @@
   job.onClose(() => {
     endAttempt({ type: 'stopped' });
   });
+  return endAttempt;
 }
