Spread the choice of chains over free memory in large fleets

Cause: what VMs know of each other's work is 0.15 to 1 s old. Within that time they all choose the fastest engines that looked free, and fill them. Change: the known loads get a jitter as wide as the free memory, the speeds an exponential factor that grows with the memory in use, so that streams spread by free memory as it gets scarce, and a path that starts in another failure domain costs 3 ms a step more, as its loads are known later. All of it grows with the number of VMs and is close to nothing at 8.

--- a/src/adapters/gateway/findStreamChain.ts
+++ b/src/adapters/gateway/findStreamChain.ts
@@ -1,8 +1,7 @@
 /** Finds the engines that could serve a stream now, by the load that this VM knows of. */
 
-import { jitterLoads } from '../../chains/jitterLoads';
+import { chooseChain } from '../../chains/chooseChain';
 import { computeCrossDomainCost } from '../../chains/computeCrossDomainCost';
-import { findChain } from '../../chains/findChain';
 import type { Stage } from '../../chains/layerEngine';
 import type { GatewayHost, Job } from '../../gateway/job';
 
@@ -41,8 +40,10 @@
     if (server === undefined) return undefined;
     return [{ id: server.id, address: server.address, layers: { from: 0, to: 0 } }];
   }
-  return findChain({
-    engines: jitterLoads(registry.chainEngines(name, model), host.vms(), host.random),
+  return chooseChain({
+    engines: registry.chainEngines(name, model),
+    vms: host.vms(),
+    random: host.random,
     layers: { from: 0, to: model.layers },
     tokens,
     fromDomain: host.failureDomain,
@@ -50,7 +51,6 @@
     crossDomainMs: computeCrossDomainCost(model, registry.crossingShare(model), hasBegun),
     excluded,
     entries,
-    isEntry: true,
     ...(hasBegun ? {} : { maxFirstEventDelayMs: job.rule.targetMs * MAX_FIRST_EVENT_TARGETS }),
   });
 }
