Spread the streams of a lost engine over all engines that can take them

At 15 s a first engine falls silent; 70 streams pause for 747 ms. Cause: all streams of a lost engine choose the cheapest replacement at the same moment and wait for each other's prefill there. Ruled out: slow detection in the first case (75 to 125 ms from the crash to the order). Change: repairs and streams that start again draw speeds with exponential factors, so engines are taken in proportion to their speed. A stream whose first engine does not answer starts beside it elsewhere once its next event is late. Check replaced: evaluateSilence.test.ts expected such a stream to stay for 1.2 s, so that a short silence does not end a run.

--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -4,6 +4,7 @@
  */
 
 import { computeCrossDomainCost } from '../../chains/computeCrossDomainCost';
+import { jitterSpeeds } from '../../chains/jitterSpeeds';
 import type { ListedServer, Stage } from '../../chains/layerEngine';
 import type { LayerRange } from '../../engines/engine';
 import type { PipelineModel } from '../../chains/pipelineModel';
@@ -47,6 +48,9 @@
 /** Back-off of an engine that rejected a repair. */
 const REPAIR_BACKOFF_MS = 200;
 
+/** All streams of a lost engine are repaired at the same moment, so they spread as far as the speeds allow. */
+const REPAIR_JITTER_WIDTH = 1;
+
 /** HTTP status of an order for a request that the engine does not run. */
 const NO_SUCH_RUN = 404;
 
@@ -68,7 +72,11 @@
     replaceStages({
       stages,
       lost: excludedIds,
-      engines: registry.chainEngines(job.profile.name, pipeline),
+      engines: jitterSpeeds(
+        registry.chainEngines(job.profile.name, pipeline),
+        REPAIR_JITTER_WIDTH,
+        host.random,
+      ),
       tokens,
       fromDomain: host.failureDomain,
       domainDelayMs: pipeline.domainDelayMs,
--- a/src/adapters/gateway/findStreamChain.ts
+++ b/src/adapters/gateway/findStreamChain.ts
@@ -43,6 +43,7 @@
   return chooseChain({
     engines: registry.chainEngines(name, model),
     vms: host.vms(),
+    isRecovery: hasBegun,
     random: host.random,
     layers: { from: 0, to: model.layers },
     tokens,
--- a/src/chains/chooseChain.ts
+++ b/src/chains/chooseChain.ts
@@ -7,23 +7,31 @@
 import { findChain } from './findChain';
 import type { ChainSearch } from './findChain';
 import { computeJitterWidth, jitterLoads } from './jitterLoads';
+import { jitterSpeeds } from './jitterSpeeds';
 import type { Stage } from './layerEngine';
 
 export interface ChainChoice extends Omit<ChainSearch, 'isEntry'> {
   /** Number of VMs that choose among the same engines. */
   readonly vms: number;
+  /** Whether the stream has lost its engine, most likely together with others. */
+  readonly isRecovery: boolean;
   /** Uniform in [0, 1). */
   readonly random: () => number;
 }
 
+/** Streams that lost the same engine start again at the same moment, so they spread as far as the speeds allow. */
+const RECOVERY_JITTER_WIDTH = 1;
+
 /** Cost of a path that starts in another failure domain in a large fleet, milliseconds per decoding step. */
 const OTHER_DOMAIN_START_MS = 3;
 
 /** @returns the stages in order; undefined if no path has capacity */
-export function chooseChain({ vms, random, ...search }: ChainChoice): readonly Stage[] | undefined {
+export function chooseChain(choice: ChainChoice): readonly Stage[] | undefined {
+  const { vms, isRecovery, random, ...search } = choice;
+  const engines = jitterLoads(search.engines, vms, random);
   return findChain({
     ...search,
-    engines: jitterLoads(search.engines, vms, random),
+    engines: isRecovery ? jitterSpeeds(engines, RECOVERY_JITTER_WIDTH, random) : engines,
     domainDelayMs: search.domainDelayMs + computeJitterWidth(vms) * OTHER_DOMAIN_START_MS,
     isEntry: true,
   });
--- a/src/chains/fleetLoad.test.ts
+++ b/src/chains/fleetLoad.test.ts
@@ -45,7 +45,7 @@
   (vms: number): FleetLoadOptions['createChoice'] =>
   (random) =>
   (engines, request) =>
-    chooseChain({ ...search, ...request, engines, vms, random });
+    chooseChain({ ...search, ...request, engines, vms, isRecovery: false, random });
 
 const play = (options: Pick<FleetLoadOptions, 'engines' | 'vms' | 'rate' | 'createChoice'>) =>
   playFleetLoad({ ...options, model, seconds: 2, seed: 1 });
--- a/src/chains/jitterLoads.ts
+++ b/src/chains/jitterLoads.ts
@@ -5,6 +5,7 @@
  * streams while there is room, and streams spread by free memory as it gets scarce.
  */
 
+import { jitterSpeeds } from './jitterSpeeds';
 import type { ChainEngine } from './layerEngine';
 
 /** Number of VMs from which the jitter has its full width. */
@@ -13,9 +14,6 @@
 /** Share of all memory in use from which the speeds have their full jitter. */
 const FULL_SPEED_JITTER_SHARE = 0.25;
 
-/** Smallest factor of a jittered speed; without it, single engines would seem to cost nothing. */
-const MIN_SPEED_FACTOR = 0.001;
-
 /**
  * @param engines the engines with their known loads
  * @param vms number of VMs that choose among the engines
@@ -29,15 +27,9 @@
 ): readonly ChainEngine[] {
   const width = computeJitterWidth(vms);
   const speedWidth = width * Math.min(1, computeUsedShare(engines) / FULL_SPEED_JITTER_SHARE);
-  return engines.map((engine) => {
+  return jitterSpeeds(engines, speedWidth, random).map((engine) => {
     const free = Math.max(0, engine.capacity - engine.reserved);
-    // The least of several costs with exponential factors is each one with the inverse of its cost as odds.
-    const speedFactor = Math.max(MIN_SPEED_FACTOR, -Math.log(1 - random())) ** speedWidth;
-    return {
-      ...engine,
-      reserved: engine.reserved + random() * width * free,
-      layerStepMs: engine.layerStepMs * speedFactor,
-    };
+    return { ...engine, reserved: engine.reserved + random() * width * free };
   });
 }
 
--- a/src/gateway/evaluateSilence.test.ts
+++ b/src/gateway/evaluateSilence.test.ts
@@ -47,10 +47,17 @@
     expect(isMoveDue({ silentMs: 1_900, sinceProbeMs: 50 })).toBe(false);
   });
 
-  it('keeps a stream whose engine does not answer until its caller would soon leave', () => {
-    expect(isMoveDue({ silentMs: 1_100, isEntrySuspected: true })).toBe(false);
-    expect(isMoveDue({ silentMs: 1_200, isEntrySuspected: true })).toBe(true);
-    const patient = { isEntrySuspected: true, targetMs: 2_000 };
+  it('moves a stream whose engine does not answer once its next event is late', () => {
+    expect(isMoveDue({ silentMs: 199, isEntrySuspected: true })).toBe(false);
+    expect(isMoveDue({ silentMs: 200, isEntrySuspected: true })).toBe(true);
+    const patient = { isEntrySuspected: true, targetGapMs: 300 };
+    expect(isMoveDue({ ...patient, silentMs: 299 })).toBe(false);
+    expect(isMoveDue({ ...patient, silentMs: 300 })).toBe(true);
+  });
+
+  it('keeps a stream that is silent alone until its caller would soon leave', () => {
+    expect(isMoveDue({ silentMs: 1_100, entryEngineSilentMs: 50 })).toBe(false);
+    const patient = { entryEngineSilentMs: 50, targetMs: 2_000 };
     expect(isMoveDue({ ...patient, silentMs: 4_700 })).toBe(false);
     expect(isMoveDue({ ...patient, silentMs: 4_800 })).toBe(true);
   });
@@ -59,7 +66,7 @@
     const waiting = { hasEvents: false, hasBegun: false, isEntrySuspected: true };
     expect(isMoveDue({ ...waiting, silentMs: 100, sinceArrivalMs: 100 })).toBe(true);
     expect(isMoveDue({ ...waiting, silentMs: 100, sinceArrivalMs: 600 })).toBe(false);
-    expect(isMoveDue({ ...waiting, silentMs: 1_200, sinceArrivalMs: 1_200 })).toBe(true);
+    expect(isMoveDue({ ...waiting, silentMs: 200, sinceArrivalMs: 600 })).toBe(true);
     const answering = { ...waiting, isEntrySuspected: false };
     expect(isMoveDue({ ...answering, silentMs: 100, sinceArrivalMs: 100 })).toBe(false);
   });
@@ -67,7 +74,7 @@
   it('gives a resumed stream as much time as a stream with events', () => {
     const resumed = { hasEvents: false, hasBegun: true, isEntrySuspected: true };
     expect(isMoveDue({ ...resumed, silentMs: 100, sinceArrivalMs: 100 })).toBe(false);
-    expect(isMoveDue({ ...resumed, silentMs: 1_200 })).toBe(true);
+    expect(isMoveDue({ ...resumed, silentMs: 200 })).toBe(true);
   });
 
   it('moves a stream whose run the engine does not know, once no events come any more', () => {
--- a/src/gateway/evaluateSilence.ts
+++ b/src/gateway/evaluateSilence.ts
@@ -1,10 +1,10 @@
 /**
  * Decides what to do about a silent stream. An unusual silence triggers a probe of the engines on the path.
  * A silence proves neither that the run has ended nor that its engine is gone, since sound engines fall
- * silent for a second or so. A stream therefore moves to another engine only when its caller would soon
- * leave, or while the move can still be in time for the first event, and only if something sets its engine
- * apart: it does not answer probes, or its other streams continue, so that the connection must be dead.
- * Under overload all streams are silent, and moving them would repeat their prefill and add to it.
+ * silent for a second or so. A move starts another run beside the silent one, which costs its prefill, so
+ * something has to set the engine apart. Where it does not answer probes, the move is due once the next event
+ * is late. Where its other streams continue, only this connection may be dead or slow, and the move waits
+ * until the caller would soon leave. Under overload all streams are silent, and moving them would add to it.
  */
 
 export interface Silence {
@@ -71,12 +71,12 @@
   );
   const isOutOfPatience = silentMs >= patienceMs * MOVE_SHARE;
   const isStartAtRisk = isEntrySuspected && !silence.hasBegun && silence.sinceArrivalMs < targetMs;
-  const isLost = silence.isRunGone && silentMs >= targetGapMs;
+  const isLost = (silence.isRunGone || isEntrySuspected) && silentMs >= targetGapMs;
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
   return {
     isProbeDue: silentMs >= unusualMs && silence.sinceProbeMs >= PROBE_INTERVAL_MS,
-    isMoveDue: isStartAtRisk || isLost || (isOutOfPatience && (isSilentAlone || isEntrySuspected)),
+    isMoveDue: isStartAtRisk || isLost || (isOutOfPatience && isSilentAlone),
   };
 }
