Start streams of a lost engine elsewhere instead of crossing domains

Cause: a replacement in another failure domain gets the activations of the whole prompt over the link that all share: 29 MB for a stream of 1,000 tokens, 1.1 s for sixty of them. Starting on another chain sends none. Change: a lost part goes to engines of the same failure domain; if there are none, the stream starts on another chain beside the silent run, and crosses only if it may not. An engine that does not answer for 60 ms while others of the chain do is replaced for that stream, before it counts as silent. Pauses are now logged over attempts.

--- a/src/adapters/gateway/createChainRepair.test.ts
+++ b/src/adapters/gateway/createChainRepair.test.ts
@@ -1,5 +1,6 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createListedServer } from '../../chains/testEngine';
-import type { Stage } from '../../chains/layerEngine';
+import type { ListedServer, Stage } from '../../chains/layerEngine';
 import { testModel } from '../../chains/testModel';
 import type { OrderResult } from '../../gateway/backendProtocol';
 import { createServerRegistry } from '../../gateway/createServerRegistry';
@@ -17,16 +18,29 @@
 });
 
 const servers = [createHolder('a', 0, 3), createHolder('b', 3, 6), createHolder('c', 6, 8)];
+const ACCEPTED: OrderResult = { type: 'accepted' };
+
 const spares = [createHolder('d', 3, 6), createHolder('e', 6, 8)];
 
-function createRepair(result: OrderResult) {
+interface RepairFixture {
+  readonly result: OrderResult;
+  /** Engines whose queries have no result. */
+  readonly unanswered?: readonly string[];
+  /** Whether another run can start. */
+  readonly canMove?: boolean;
+  readonly engines?: readonly ListedServer[];
+}
+
+function createRepair(fixture: RepairFixture) {
+  const { result, unanswered = [], canMove = false, engines = [...servers, ...spares] } = fixture;
+  const moves: string[] = [];
   const now = (): number => 0;
   const registry = createServerRegistry({
     now,
     firstEventDelays: createFirstEventDelays(now),
     log: () => undefined,
   });
-  registry.list([...servers, ...spares]);
+  registry.list(engines);
   const paths: string[] = [];
   const probed: string[] = [];
   const host = {
@@ -40,11 +54,13 @@
     probes: {
       ask: (id: string) => {
         probed.push(id);
+        if (unanswered.includes(id)) return new Promise(() => undefined);
         return Promise.resolve({ type: 'failed', detail: 'not used' });
       },
     },
     failureDomain: 'a',
     now,
+    random: () => 0.5,
     log: () => undefined,
     count: () => undefined,
   } as unknown as GatewayHost;
@@ -57,15 +73,19 @@
     tokens: 100,
     isOver: () => false,
     hasEvents: () => true,
-    silentMs: () => 0,
+    silentMs: () => 170,
+    tryMove: () => {
+      moves.push('moved');
+      return canMove;
+    },
     onRunGone: () => undefined,
   });
-  return { board: registry, repair, paths, asked: probed };
+  return { registry, repair, paths, probed, moves };
 }
 
 describe('createChainRepair', () => {
   it('replaces one engine and keeps the others', async () => {
-    const { repair, paths } = createRepair({ type: 'accepted' });
+    const { repair, paths } = createRepair({ result: ACCEPTED });
     await repair.repair(new Set(['b']), 'engine lost');
     expect(paths).toEqual(['a d c']);
     expect(repair.includes('b')).toBe(false);
@@ -73,7 +93,7 @@
 
   it('excludes every engine that drains or dropped its layers', async () => {
     for (const change of [{ isDraining: true }, { layers: undefined }]) {
-      const { board: registry, repair, paths } = createRepair({ type: 'accepted' });
+      const { registry, repair, paths } = createRepair({ result: ACCEPTED });
       const leaving = servers.slice(1).map((server) => ({ ...server, ...change }));
       registry.list([createHolder('a', 0, 3), ...leaving, ...spares]);
       await repair.repair(new Set(['b']), 'engine leaving');
@@ -81,11 +101,52 @@
     }
   });
 
+  it('replaces an engine that does not answer soon while the others do', async () => {
+    const { repair, paths } = createRepair({ result: ACCEPTED, unanswered: ['b'] });
+    void repair.probe();
+    await sleep(300);
+    expect(paths).toEqual(['a d c']);
+    expect(repair.isEntryUnanswered()).toBe(false);
+  });
+
+  it('orders nothing through a first engine that does not answer soon', async () => {
+    const { repair, paths } = createRepair({ result: ACCEPTED, unanswered: ['a'] });
+    void repair.probe();
+    await sleep(300);
+    expect(paths).toEqual([]);
+    expect(repair.isEntryUnanswered()).toBe(true);
+  });
+
+  it('starts on another chain instead of sending a lost part over the links between failure domains', async () => {
+    const { repair, paths, moves } = createRepair({
+      result: ACCEPTED,
+      canMove: true,
+      engines: [
+        ...servers,
+        createListedServer('f', { failureDomain: 'b', layers: { from: 3, to: 6 } }),
+      ],
+    });
+    await repair.repair(new Set(['b']), 'engine lost');
+    expect([paths, moves]).toEqual([[], ['moved']]);
+    await repair.repair(new Set(['b']), 'engine leaving');
+    expect([paths, moves]).toEqual([['a f c'], ['moved']]);
+  });
+
+  it('sends a lost part over the links between failure domains if no other chain can start', async () => {
+    const { repair, paths } = createRepair({
+      result: ACCEPTED,
+      engines: [
+        ...servers,
+        createListedServer('f', { failureDomain: 'b', layers: { from: 3, to: 6 } }),
+      ],
+    });
+    await repair.repair(new Set(['b']), 'engine lost');
+    expect(paths).toEqual(['a f c']);
+  });
+
   it('probes the engine for which an order was rejected', async () => {
-    const { repair, asked: probed } = createRepair({
-      type: 'rejected',
-      status: 409,
-      address: 'd:1',
+    const { repair, probed } = createRepair({
+      result: { type: 'rejected', status: 409, address: 'd:1' },
     });
     await repair.repair(new Set(['b']), 'engine lost');
     expect(probed).toEqual(['d']);
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -12,13 +12,18 @@
 import type { OrderResult } from '../../gateway/backendProtocol';
 import type { Reservation } from '../../gateway/serverRegistry';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { listUnanswered } from './listUnanswered';
+
+export type RepairCause = 'engine leaving' | 'engine lost' | 'silent' | 'unanswered';
 
 export interface ChainRepair {
   readonly includes: (server: string) => boolean;
   /** Replaces failed engines, unless the first engine is one of them. */
-  readonly repair: (failedIds: ReadonlySet<string>, cause: string) => Promise<void>;
+  readonly repair: (failedIds: ReadonlySet<string>, cause: RepairCause) => Promise<void>;
   /** Probes all engines of the chain and replaces those that have failed. */
   readonly probe: () => Promise<void>;
+  /** Whether the first engine has not answered the last probe, though others have. */
+  readonly isEntryUnanswered: () => boolean;
   /** Time of the last probe, monotonic, milliseconds. */
   readonly probedMs: () => number;
   /** Time of the last successful repair, monotonic, milliseconds. */
@@ -41,13 +46,24 @@
   readonly hasEvents: () => boolean;
   /** Time since the last event, milliseconds. */
   readonly silentMs: () => number;
+  /** Starts another run beside this one; returns whether one runs. */
+  readonly tryMove: () => boolean;
   /** Called when the first engine no longer knows the run; its last events may still be on their way. */
   readonly onRunGone: () => void;
 }
 
+/** Cause of a repair that comes with notice, and so for one stream at a time. */
+const PLANNED_CAUSE: RepairCause = 'engine leaving';
+
 /** Back-off of an engine that rejected a repair. */
 const REPAIR_BACKOFF_MS = 200;
 
+/**
+ * Time after which an engine counts as lost for one silent stream if other engines of its chain have answered.
+ * Answers take a few milliseconds; the repair should still be in time for the next event.
+ */
+const SLOW_ANSWER_MS = 60;
+
 /** All streams of a lost engine are repaired at the same moment, so they spread as far as the speeds allow. */
 const REPAIR_JITTER_WIDTH = 1;
 
@@ -64,10 +80,12 @@
   let probedMs = Number.NEGATIVE_INFINITY;
   let repairedMs = Number.NEGATIVE_INFINITY;
   let lastCause: string | undefined;
+  let isEntryUnanswered = false;
 
   const findPath = (
     pipeline: PipelineModel,
     excludedIds: ReadonlySet<string>,
+    crossDomainMs: number,
   ): readonly Stage[] | undefined =>
     replaceStages({
       stages,
@@ -80,12 +98,27 @@
       tokens,
       fromDomain: host.failureDomain,
       domainDelayMs: pipeline.domainDelayMs,
-      crossDomainMs: computeCrossDomainCost(pipeline, registry.crossingShare(pipeline), true),
+      crossDomainMs,
       excluded: new Set(),
       domains: new Map(
         stages.map(({ id }) => [id, registry.find(id)?.failureDomain ?? host.failureDomain]),
       ),
     });
+  /**
+   * All streams of a lost engine send the activations of their prompts to its replacements at once. Over a link
+   * between failure domains, that takes longer than to start on another chain.
+   */
+  const choosePath = (
+    pipeline: PipelineModel,
+    excludedIds: ReadonlySet<string>,
+    cause: RepairCause,
+  ): readonly Stage[] | undefined | 'moved' => {
+    const near = findPath(pipeline, excludedIds, Number.POSITIVE_INFINITY);
+    if (near !== undefined) return near;
+    if (cause !== PLANNED_CAUSE && options.tryMove()) return 'moved';
+    const share = registry.crossingShare(pipeline);
+    return findPath(pipeline, excludedIds, computeCrossDomainCost(pipeline, share, true));
+  };
   const applyResult = (path: readonly Stage[], result: OrderResult): void => {
     host.count('chain_repairs', result.type);
     if (result.type === 'accepted') {
@@ -129,14 +162,15 @@
       .slice(1)
       .filter(({ id, layers }) => !canServe(registry.find(id), layers))
       .map(({ id }) => id);
-  const repair = async (failedIds: ReadonlySet<string>, cause: string): Promise<void> => {
+  const repair = async (failedIds: ReadonlySet<string>, cause: RepairCause): Promise<void> => {
     if (isOver() || isRepairing || model === undefined || entry === undefined) return;
     // The first engine rejects a path that still includes any failed or leaving engine.
     const replacedIds = new Set([...failedIds, ...findSuspects(new Set()), ...findLeaving()]);
     // Orders go through the first engine. While it does not answer, the stream waits for it or moves; while
     // it wants no requests, no order is sent.
     if (replacedIds.has(entry.id) || registry.quietMs(entry.id) > 0) return;
-    const path = findPath(model, replacedIds);
+    const path = choosePath(model, replacedIds, cause);
+    if (path === 'moved') return;
     lastCause = cause;
     host.log('chain repair', {
       id: job.head.id,
@@ -156,18 +190,31 @@
     isRepairing = false;
     if (!isOver()) applyResult(path, result);
   };
+  /** Replaces engines that do not answer soon, without waiting until they count as silent. */
+  const replaceUnanswered = async (
+    queries: ReadonlyMap<string, Promise<unknown>>,
+  ): Promise<void> => {
+    const unanswered = await listUnanswered(queries, SLOW_ANSWER_MS);
+    if (isOver() || unanswered.size === 0 || options.silentMs() < SLOW_ANSWER_MS) return;
+    if (entry !== undefined && unanswered.has(entry.id)) isEntryUnanswered = true;
+    else await repair(unanswered, 'unanswered');
+  };
   return {
     includes: (server) => stages.some(({ id }) => id === server),
     repair,
     probe: async () => {
       probedMs = now();
-      const [first] = await Promise.all(stages.map(({ id }) => host.probes.ask(id)));
+      const queries = new Map(stages.map(({ id }) => [id, host.probes.ask(id)]));
+      void replaceUnanswered(queries);
+      const [first] = await Promise.all(queries.values());
+      if (first?.type === 'report') isEntryUnanswered = false;
       if (isOver()) return;
       const stalled = first?.type === 'report' ? first.report.stalled : [];
       const own = stalled.filter(({ requestId }) => requestId === job.head.id);
       const suspects = findSuspects(new Set(own.map(({ address }) => address)));
       if (suspects.size > 0) await repair(suspects, 'silent');
     },
+    isEntryUnanswered: () => isEntryUnanswered,
     probedMs: () => probedMs,
     repairedMs: () => repairedMs,
     lastCause: () => lastCause,
--- a/src/adapters/gateway/createStreamMove.ts
+++ b/src/adapters/gateway/createStreamMove.ts
@@ -9,8 +9,12 @@
 export interface StreamMove {
   /** Whether the first engine is suspected, has restarted or is not listed any more. */
   readonly isEntryDoubtful: () => boolean;
-  /** Starts another run if one can be prepared; without effect shortly after an earlier try. */
-  readonly tryMove: (silentMs: number) => void;
+  /**
+   * Starts another run if one can be prepared; without effect shortly after an earlier try.
+   *
+   * @returns whether another run was started, now or just before
+   */
+  readonly tryMove: (silentMs: number) => boolean;
 }
 
 export interface StreamMoveOptions {
@@ -31,20 +35,22 @@
   const { registry, now } = host;
   const { bornMs } = registry.find(entry) ?? {};
   let triedMs = Number.NEGATIVE_INFINITY;
+  let hasMoved = false;
   let isKeptLogged = false;
   const isEntryDoubtful = (): boolean =>
     registry.isSuspected(entry) || registry.find(entry)?.bornMs !== bornMs;
   return {
     isEntryDoubtful,
     tryMove: (silentMs) => {
-      if (now() - triedMs < MOVE_INTERVAL_MS) return;
+      if (now() - triedMs < MOVE_INTERVAL_MS) return hasMoved;
       triedMs = now();
       const limit = options.prepareMove();
+      hasMoved = limit === undefined;
       if (limit === undefined) {
         options.onMove();
-        return;
+        return true;
       }
-      if (isKeptLogged) return;
+      if (isKeptLogged) return false;
       isKeptLogged = true;
       host.log('silent stream kept', {
         id: job.head.id,
@@ -53,6 +59,7 @@
         silentMs: Math.round(silentMs),
         isDoubtful: isEntryDoubtful(),
       });
+      return false;
     },
   };
 }
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -96,6 +96,7 @@
     isOver: () => isOver,
     hasEvents: () => hasOwnEvents,
     silentMs: () => now() - progress.lastActivityMs,
+    tryMove: () => exchange.isSent() && move.tryMove(now() - progress.lastActivityMs),
     onRunGone: () => {
       isRunGone = true;
     },
@@ -127,9 +128,12 @@
     if (newEvents.length === 0) return;
     options.onSpeak();
     const nowMs = now();
+    // For the caller, a pause goes on from the last event of the attempt before.
+    let lastEventMs = (hasOwnEvents ? progress : options.progress).lastActivityMs;
     for (const { id } of newEvents) {
       if (progress.events === 0) host.observe('first_event', nowMs - job.arrivedMs);
-      else recordPause(nowMs - progress.lastActivityMs);
+      else recordPause(nowMs - lastEventMs);
+      lastEventMs = nowMs;
       progress = recordEvent(progress, id, nowMs);
     }
     if (!hasOwnEvents) firstEventDelay.started();
@@ -210,6 +214,7 @@
         targetGapMs: job.rule.targetGapMs,
         entryEngineSilentMs: nowMs - registry.lastEventMs(entry.id),
         isEntrySuspected: move.isEntryDoubtful() || host.partition.isPartitioned(),
+        isEntryUnanswered: chain.isEntryUnanswered(),
         isRunGone,
         hasBegun: progress.events > 0,
         sinceArrivalMs: nowMs - job.arrivedMs,
--- a/src/chains/chooseChain.ts
+++ b/src/chains/chooseChain.ts
@@ -22,6 +22,12 @@
 /** Streams that lost the same engine start again at the same moment, so they spread as far as the speeds allow. */
 const RECOVERY_JITTER_WIDTH = 1;
 
+/**
+ * Factor of the cost of a hop to another failure domain where the speeds are jittered; without it, some path over
+ * the links that all streams share would often look cheapest.
+ */
+const JITTERED_CROSSING_FACTOR = 4;
+
 /** Cost of a path that starts in another failure domain in a large fleet, milliseconds per decoding step. */
 const OTHER_DOMAIN_START_MS = 3;
 
@@ -29,10 +35,13 @@
 export function chooseChain(choice: ChainChoice): readonly Stage[] | undefined {
   const { vms, isRecovery, random, ...search } = choice;
   const engines = jitterLoads(search.engines, vms, random);
+  const width = computeJitterWidth(vms);
+  const crossingWidth = isRecovery ? RECOVERY_JITTER_WIDTH : width;
   return findChain({
     ...search,
     engines: isRecovery ? jitterSpeeds(engines, RECOVERY_JITTER_WIDTH, random) : engines,
-    domainDelayMs: search.domainDelayMs + computeJitterWidth(vms) * OTHER_DOMAIN_START_MS,
+    domainDelayMs: search.domainDelayMs + width * OTHER_DOMAIN_START_MS,
+    crossDomainMs: search.crossDomainMs * (1 + crossingWidth * (JITTERED_CROSSING_FACTOR - 1)),
     isEntry: true,
   });
 }
--- a/src/chains/fleetLoad.test.ts
+++ b/src/chains/fleetLoad.test.ts
@@ -30,22 +30,29 @@
   d: { a100s: 2, l4: 14, t4: 7 },
 };
 
+/** Share of the links between failure domains that new streams may use; the rest is for repairs. */
+const MAX_CROSSING_SHARE = 0.5;
+
 const search = {
   layers: { from: 0, to: model.layers },
   domainDelayMs: model.domainDelayMs,
-  crossDomainMs: computeCrossDomainCost(model, 0.2),
   excluded: new Set<string>(),
 };
 
 /** The least cost by the loads as they are known. */
-const createGreedyChoice = (): FleetChoice => (engines, request) =>
-  findChain({ ...search, ...request, engines, isEntry: true });
+const createGreedyChoice = (): FleetChoice => (engines, request) => {
+  const crossDomainMs = computeCrossDomainCost(model, request.crossingShare);
+  return findChain({ ...search, ...request, crossDomainMs, engines, isEntry: true });
+};
 
 const createChoice =
   (vms: number): FleetLoadOptions['createChoice'] =>
   (random) =>
-  (engines, request) =>
-    chooseChain({ ...search, ...request, engines, vms, isRecovery: false, random });
+  (engines, request) => {
+    const crossDomainMs = computeCrossDomainCost(model, request.crossingShare);
+    const known = { engines, vms, isRecovery: false, random };
+    return chooseChain({ ...search, ...request, ...known, crossDomainMs });
+  };
 
 const play = (options: Pick<FleetLoadOptions, 'engines' | 'vms' | 'rate' | 'createChoice'>) =>
   playFleetLoad({ ...options, model, seconds: 2, seed: 1 });
@@ -71,5 +78,6 @@
     const load = play({ ...fleet, createChoice: createChoice(total) });
     const greedy = play({ ...fleet, createChoice: createGreedyChoice });
     expect(rejectedShare(load)).toBeLessThan(rejectedShare(greedy) / 2);
+    expect(load.meanCrossingShare).toBeLessThan(MAX_CROSSING_SHARE);
   });
 });
--- a/src/chains/testFleetLoad.ts
+++ b/src/chains/testFleetLoad.ts
@@ -11,7 +11,12 @@
 /** Chooses a chain by the loads that a VM knows of. */
 export type FleetChoice = (
   engines: readonly ChainEngine[],
-  request: { readonly tokens: number; readonly fromDomain: string },
+  request: {
+    readonly tokens: number;
+    readonly fromDomain: string;
+    /** Share of the links between failure domains in use, as it was a moment ago. */
+    readonly crossingShare: number;
+  },
 ) => readonly Stage[] | undefined;
 
 export interface FleetLoadOptions {
@@ -41,6 +46,8 @@
   readonly meanShare: number;
   /** Mean number of stages. */
   readonly meanStages: number;
+  /** Mean share of the links between failure domains in use; above 1 if more is sent than fits. */
+  readonly meanCrossingShare: number;
 }
 
 /** When a VM learns of the work of its own and of other failure domains, milliseconds. */
@@ -49,6 +56,9 @@
 
 const SNAPSHOT_MS = 75;
 
+/** Span over which the use of the links between failure domains is measured. */
+const CROSSING_SPAN_MS = 1_000;
+
 const MS_PER_SECOND = 1_000;
 
 interface Engine extends ChainEngine {
@@ -94,6 +104,12 @@
       return { ...engine, reserved: others + (own.get(engine.id) ?? 0) };
     });
   };
+  const crossings: { readonly atMs: number; readonly tokens: number }[] = [];
+  const computeCrossingShare = (nowMs: number): number => {
+    const recent = crossings.filter(({ atMs }) => atMs > nowMs - CROSSING_SPAN_MS);
+    const bytes = recent.reduce((sum, { tokens }) => sum + tokens * model.activationBytes, 0);
+    return bytes / (model.domainBytesPerMs * CROSSING_SPAN_MS);
+  };
   const addLoad = (target: Loads, stages: readonly Stage[], tokens: number): void => {
     for (const { id, layers } of stages) {
       target.set(id, (target.get(id) ?? 0) + (layers.to - layers.from) * tokens);
@@ -106,7 +122,9 @@
     const answerTokens = Math.min(460, 1 + random.exponential(model.meanAnswerTokens));
     const hint = answerTokens * (0.5 + random.next());
     const estimate = promptTokens + hint;
-    const chain = choose(viewEngines(vm, domain, nowMs), { tokens: estimate, fromDomain: domain });
+    const crossingShare = computeCrossingShare(nowMs);
+    const engineViews = viewEngines(vm, domain, nowMs);
+    const chain = choose(engineViews, { tokens: estimate, fromDomain: domain, crossingShare });
     result.streams += 1;
     if (chain === undefined) {
       result.unplaced += 1;
@@ -130,6 +148,10 @@
     }, chain.length * 0.2);
     result.stepMs += stepMs;
     result.stages += chain.length;
+    for (const [index, { id }] of chain.entries()) {
+      const previous = engineOf.get(chain[index - 1]?.id ?? id)?.failureDomain;
+      if (previous !== engineOf.get(id)?.failureDomain) crossings.push({ atMs: nowMs, tokens });
+    }
     const own = ownLoads.get(vm) ?? new Map<string, number>();
     ownLoads.set(vm, own);
     addLoad(inUse, chain, tokens);
@@ -175,6 +197,9 @@
     meanStepMs: result.stepMs / placed,
     meanShare: result.share / result.samples,
     meanStages: result.stages / placed,
+    meanCrossingShare:
+      (crossings.reduce((sum, { tokens }) => sum + tokens, 0) * model.activationBytes) /
+      (model.domainBytesPerMs * options.seconds * MS_PER_SECOND),
   };
 }
 
--- a/src/gateway/evaluateSilence.test.ts
+++ b/src/gateway/evaluateSilence.test.ts
@@ -9,6 +9,7 @@
   targetGapMs: 200,
   entryEngineSilentMs: 10_000,
   isEntrySuspected: false,
+  isEntryUnanswered: false,
   isRunGone: false,
   hasBegun: true,
   sinceArrivalMs: 10_000,
@@ -55,6 +56,10 @@
     expect(isMoveDue({ ...patient, silentMs: 300 })).toBe(true);
   });
 
+  it('moves a stream at once whose first engine alone does not answer', () => {
+    expect(isMoveDue({ silentMs: 170, isEntryUnanswered: true })).toBe(true);
+  });
+
   it('keeps a stream that is silent alone until its caller would soon leave', () => {
     expect(isMoveDue({ silentMs: 1_100, entryEngineSilentMs: 50 })).toBe(false);
     const patient = { entryEngineSilentMs: 50, targetMs: 2_000 };
--- a/src/gateway/evaluateSilence.ts
+++ b/src/gateway/evaluateSilence.ts
@@ -3,7 +3,7 @@
  * A silence proves neither that the run has ended nor that its engine is gone, since sound engines fall
  * silent for a second or so. A move starts another run beside the silent one, which costs its prefill, so
  * something has to set the engine apart. Where it does not answer probes, the move is due once the next event
- * is late. Where its other streams continue, only this connection may be dead or slow, and the move waits
+ * is late, or sooner if other engines have answered meanwhile. Where its other streams continue, only this connection may be dead or slow, and the move waits
  * until the caller would soon leave. Under overload all streams are silent, and moving them would add to it.
  */
 
@@ -21,6 +21,8 @@
   readonly entryEngineSilentMs: number;
   /** Whether the first engine is suspected to have failed, has restarted or is not listed any more. */
   readonly isEntrySuspected: boolean;
+  /** Whether the first engine has not answered a probe, though other engines of its chain have. */
+  readonly isEntryUnanswered: boolean;
   /** Whether the first engine says that it does not know the run any more. */
   readonly isRunGone: boolean;
   /** Whether the caller has received events, of this run or another. */
@@ -70,13 +72,15 @@
     targetGapMs * PATIENCE_GAPS,
   );
   const isOutOfPatience = silentMs >= patienceMs * MOVE_SHARE;
-  const isStartAtRisk = isEntrySuspected && !silence.hasBegun && silence.sinceArrivalMs < targetMs;
+  const isEntryDoubtful = isEntrySuspected || silence.isEntryUnanswered;
+  const isStartAtRisk = isEntryDoubtful && !silence.hasBegun && silence.sinceArrivalMs < targetMs;
   const isLost = (silence.isRunGone || isEntrySuspected) && silentMs >= targetGapMs;
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
   return {
     isProbeDue: silentMs >= unusualMs && silence.sinceProbeMs >= PROBE_INTERVAL_MS,
-    isMoveDue: isStartAtRisk || isLost || (isOutOfPatience && isSilentAlone),
+    isMoveDue:
+      isStartAtRisk || silence.isEntryUnanswered || isLost || (isOutOfPatience && isSilentAlone),
   };
 }
