Log what a stream without a chain lacks

Which limit ruled the paths out was not logged. Change: 'stream given up' names the shortage: first event delay, links, memory or layers, found by searching again with one limit after the other lifted.

--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -3,6 +3,8 @@
 import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
 import { computeServiceWaitTime } from '../../gateway/computeServiceWaitTime';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { estimateStreamSize } from './estimateStreamSize';
+import { explainStreamShortage } from './explainStreamShortage';
 import { findStreamChain } from './findStreamChain';
 import { refuseJob } from './refuseJob';
 import type { AttemptOutcome } from './attemptOutcome';
@@ -43,12 +45,17 @@
   const reason = end.runs > 0 ? 'unknown-outcome' : 'not-run';
   const baseMs = outcome === undefined ? chooseRetryDelay(host, job) : FULL_RETRY_MS;
   const quietMs = computeServiceQuietTime(host.registry, job.profile.name);
+  const { tokens } = estimateStreamSize(job);
   host.count('refusals', reason);
   host.log('stream given up', {
     id: job.head.id,
     reason,
     cause: outcome?.type ?? 'no chain',
     limit: end.limit,
+    shortage:
+      end.limit === 'no chain'
+        ? explainStreamShortage(host, job, { tokens, hasBegun: end.events > 0 })
+        : undefined,
     isAtLimit: computeServiceWaitTime(host.registry, job.profile.name) > quietMs,
     events: end.events,
     runs: end.runs,
--- a/src/adapters/gateway/reserveStreamChain.ts
+++ b/src/adapters/gateway/reserveStreamChain.ts
@@ -4,7 +4,7 @@
 import type { Reservation } from '../../gateway/serverRegistry';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { findStreamChain } from './findStreamChain';
-import type { StreamChainSearch } from './findStreamChain';
+import type { StreamChainSearch } from './describeChainSearch';
 
 export interface ReservedChain {
   readonly stages: readonly Stage[];
--- /dev/null
+++ b/src/chains/explainShortage.ts
@@ -0,0 +1,26 @@
+/** Tells what a request lacked that found no path, by searching again with one limit after the other lifted. */
+
+import { findChain } from './findChain';
+import type { ChainSearch } from './findChain';
+
+/** `layers` if no path exists whatever its load. */
+export type ChainShortage = 'first event delay' | 'links' | 'memory' | 'layers';
+
+type Relaxation = Partial<ChainSearch>;
+
+/** Limits in the order in which they are lifted; each search keeps those before it lifted. */
+const RELAXATIONS: readonly (readonly [ChainShortage, Relaxation])[] = [
+  ['first event delay', { maxFirstEventDelayMs: Infinity }],
+  ['links', { crossDomainMs: 0 }],
+  ['memory', { tokens: 0 }],
+];
+
+/** @param search a search that found no path */
+export function explainShortage(search: ChainSearch): ChainShortage {
+  let relaxed = search;
+  for (const [shortage, relaxation] of RELAXATIONS) {
+    relaxed = { ...relaxed, ...relaxation };
+    if (findChain(relaxed) !== undefined) return shortage;
+  }
+  return 'layers';
+}
