Move a stream in place of a repair only to a chain that crosses nothing

Cause: where a release leaves no failure domain with all layers, the chain that a stream moves to crosses the links too, with the activations of all of its prompt, and as it has begun, no saturation held it back. Change: a move in place of a repair takes only a chain without a crossing; otherwise the lost part is repaired over the links as before. Streams that lost their first engine still move in any way.

--- a/src/adapters/gateway/createChainRepair.test.ts
+++ b/src/adapters/gateway/createChainRepair.test.ts
@@ -74,7 +74,7 @@
     isOver: () => false,
     hasEvents: () => true,
     silentMs: () => 170,
-    tryMove: () => {
+    tryMoveNear: () => {
       moves.push('moved');
       return canMove;
     },
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -46,8 +46,8 @@
   readonly hasEvents: () => boolean;
   /** Time since the last event, milliseconds. */
   readonly silentMs: () => number;
-  /** Starts another run beside this one; returns whether one runs. */
-  readonly tryMove: () => boolean;
+  /** Starts another run beside this one, within a failure domain; returns whether one runs. */
+  readonly tryMoveNear: () => boolean;
   /** Called when the first engine no longer knows the run; its last events may still be on their way. */
   readonly onRunGone: () => void;
 }
@@ -106,7 +106,7 @@
     });
   /**
    * All streams of a lost engine send the activations of their prompts to its replacements at once. Over a link
-   * between failure domains, that takes longer than to start on another chain.
+   * between failure domains, that takes longer than to start on a chain that uses none.
    */
   const choosePath = (
     pipeline: PipelineModel,
@@ -115,7 +115,7 @@
   ): readonly Stage[] | undefined | 'moved' => {
     const near = findPath(pipeline, excludedIds, Number.POSITIVE_INFINITY);
     if (near !== undefined) return near;
-    if (cause !== PLANNED_CAUSE && options.tryMove()) return 'moved';
+    if (cause !== PLANNED_CAUSE && options.tryMoveNear()) return 'moved';
     const share = registry.crossingShare(pipeline);
     return findPath(pipeline, excludedIds, computeCrossDomainCost(pipeline, share, true));
   };
--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -87,7 +87,7 @@
     return isRetrySpent;
   };
   /** Moves only to a server that has not had the request, so that silences do not send it to and fro. */
-  const prepareMove = (entry: string): StreamLimit | undefined => {
+  const prepareMove = (entry: string, mayCross: boolean): StreamLimit | undefined => {
     if (!rule.isResumable) return 'not resumable';
     if (!mayStart() || successor !== undefined) return 'attempts of the route';
     if (host.contentSuspicions.isSuspect(job.contents)) return 'held back';
@@ -95,7 +95,7 @@
     if (excluded.size >= rule.maxAttempts) return 'attempts of the route';
     if (canForward()) return undefined;
     const hasBegun = progress.events > 0;
-    prepared = reserveStreamChain(host, job, { tokens, hasBegun, excluded });
+    prepared = reserveStreamChain(host, job, { tokens, hasBegun, excluded, mayCross });
     if (prepared === undefined) return 'no chain';
     if (trySpendRetry()) return undefined;
     prepared.reservation.cancel();
@@ -149,7 +149,7 @@
         predecessor?.end(SUPERSEDED);
         if (successor?.outcome !== attempt.outcome) successor?.end({ type: 'overtaken' });
       },
-      prepareMove: () => prepareMove(entry),
+      prepareMove: (mayCross) => prepareMove(entry, mayCross),
       onMove: () => {
         const chosen = prepared;
         prepared = undefined;
--- a/src/adapters/gateway/createStreamMove.ts
+++ b/src/adapters/gateway/createStreamMove.ts
@@ -6,6 +6,11 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import type { StreamLimit } from './finishStream';
 
+export interface MoveOptions {
+  /** Whether the other run's chain may use the links between failure domains; true by default. */
+  readonly mayCross?: boolean;
+}
+
 export interface StreamMove {
   /** Whether the first engine is suspected, has restarted or is not listed any more. */
   readonly isEntryDoubtful: () => boolean;
@@ -14,7 +19,7 @@
    *
    * @returns whether another run was started, now or just before
    */
-  readonly tryMove: (silentMs: number) => boolean;
+  readonly tryMove: (silentMs: number, options?: MoveOptions) => boolean;
 }
 
 export interface StreamMoveOptions {
@@ -22,7 +27,7 @@
   /** Id of the first engine. */
   readonly entry: string;
   /** Prepares another attempt; returns what rules it out, undefined if the stream may move. */
-  readonly prepareMove: () => StreamLimit | undefined;
+  readonly prepareMove: (mayCross: boolean) => StreamLimit | undefined;
   readonly onMove: () => void;
 }
 
@@ -41,10 +46,10 @@
     registry.isSuspected(entry) || registry.find(entry)?.bornMs !== bornMs;
   return {
     isEntryDoubtful,
-    tryMove: (silentMs) => {
+    tryMove: (silentMs, { mayCross = true } = {}) => {
       if (now() - triedMs < MOVE_INTERVAL_MS) return hasMoved;
       triedMs = now();
-      const limit = options.prepareMove();
+      const limit = options.prepareMove(mayCross);
       hasMoved = limit === undefined;
       if (limit === undefined) {
         options.onMove();
--- a/src/adapters/gateway/describeChainSearch.ts
+++ b/src/adapters/gateway/describeChainSearch.ts
@@ -14,6 +14,8 @@
   readonly entries?: ReadonlySet<string> | undefined;
   /** Engines that must not be used. */
   readonly excluded?: ReadonlySet<string>;
+  /** Whether the chain may use the links between failure domains; by default, if they are not saturated. */
+  readonly mayCross?: boolean;
 }
 
 /** Maximum expected first-event delay, in targets; beyond it, a later retry is no slower. */
@@ -25,7 +27,7 @@
   host: GatewayHost,
   job: Job,
   model: PipelineModel,
-  { tokens, hasBegun, entries, excluded = NONE }: StreamChainSearch,
+  { tokens, hasBegun, entries, excluded = NONE, mayCross = true }: StreamChainSearch,
 ): ChainSearch {
   const { registry } = host;
   return {
@@ -35,7 +37,9 @@
     tokens,
     fromDomain: host.failureDomain,
     domainDelayMs: model.domainDelayMs,
-    crossDomainMs: computeCrossDomainCost(model, registry.crossingShare(model), hasBegun),
+    crossDomainMs: mayCross
+      ? computeCrossDomainCost(model, registry.crossingShare(model), hasBegun)
+      : Number.POSITIVE_INFINITY,
     excluded,
     entries,
     ...(hasBegun ? {} : { maxFirstEventDelayMs: job.rule.targetMs * MAX_FIRST_EVENT_TARGETS }),
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -42,8 +42,12 @@
   readonly onProgress: (progress: StreamProgress) => void;
   /** Called before the attempt writes anything to the caller. */
   readonly onSpeak: () => void;
-  /** Prepares another attempt; returns what rules it out, undefined if the stream may move. */
-  readonly prepareMove: () => StreamLimit | undefined;
+  /**
+   * Prepares another attempt; returns what rules it out, undefined if the stream may move.
+   *
+   * @param mayCross whether its chain may use the links between failure domains
+   */
+  readonly prepareMove: (mayCross: boolean) => StreamLimit | undefined;
   /** Starts the prepared attempt; this one goes on until the other one speaks. */
   readonly onMove: () => void;
 }
@@ -96,7 +100,10 @@
     isOver: () => isOver,
     hasEvents: () => hasOwnEvents,
     silentMs: () => now() - progress.lastActivityMs,
-    tryMove: () => exchange.isSent() && move.tryMove(now() - progress.lastActivityMs),
+    tryMoveNear: () => {
+      const silentMs = now() - progress.lastActivityMs;
+      return exchange.isSent() && move.tryMove(silentMs, { mayCross: false });
+    },
     onRunGone: () => {
       isRunGone = true;
     },
