--- a/measurements/faultSoak/bundleDaemon.ts
+++ b/measurements/faultSoak/bundleDaemon.ts
@@ -5,11 +5,15 @@
 import { join } from 'node:path';
 import { build } from 'esbuild';
 
-/** @returns path of the bundled program */
-export async function bundleDaemon(): Promise<string> {
+/**
+ * @param sources folder with the sources of another version; by default, those of this one
+ * @returns path of the bundled program
+ */
+export async function bundleDaemon(sources = process.cwd()): Promise<string> {
   const outfile = join(mkdtempSync(join(tmpdir(), 'daemon-')), 'citronpassd.js');
   await build({
-    entryPoints: [join(process.cwd(), 'platform/main.ts')],
+    entryPoints: [join(sources, 'platform/main.ts')],
+    nodePaths: [join(process.cwd(), 'node_modules')],
     bundle: true,
     platform: 'node',
     target: 'node20',
--- a/measurements/faultSoak/faultSoak.ts
+++ b/measurements/faultSoak/faultSoak.ts
@@ -8,6 +8,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { bundleDaemon } from './bundleDaemon';
+import { bundleProductionDaemon } from './bundleProductionDaemon';
 import { FATAL_KINDS } from './createFatalCallers';
 import { runFaultSoak } from './runFaultSoak';
 import type { FaultSoakOptions } from './runFaultSoak';
@@ -38,6 +39,11 @@
         default: true,
         describe: 'also partition VMs from all servers',
       },
+      upgrade: {
+        type: 'boolean',
+        default: false,
+        describe: 'let VMs change between this version and the one in production',
+      },
       cases: {
         type: 'boolean',
         default: false,
@@ -55,10 +61,15 @@
         hasPartitions: argv.partitions,
       });
   const program = await bundleDaemon();
+  const otherProgram = argv.upgrade ? await bundleProductionDaemon() : undefined;
   const failed: number[] = [];
   for (const run of runs) {
     const { seed } = run;
-    const { faults, sent, served, findings, log } = await runFaultSoak({ ...run, program });
+    const { faults, sent, served, findings, log } = await runFaultSoak({
+      ...run,
+      program,
+      otherProgram,
+    });
     console.log(JSON.stringify({ seed, sent, served, findings, faults }));
     if (findings.length === 0) continue;
     failed.push(seed);
@@ -70,7 +81,7 @@
 
 function listRuns(
   seeds: string,
-  options: Omit<FaultSoakOptions, 'seed' | 'program'>,
+  options: Omit<FaultSoakOptions, 'seed' | 'program' | 'otherProgram'>,
 ): readonly Omit<FaultSoakOptions, 'program'>[] {
   const [from, to] = seeds.split('..').map(Number);
   if (from === undefined || to === undefined || !(to >= from)) {
--- a/measurements/faultSoak/runFaultSoak.test.ts
+++ b/measurements/faultSoak/runFaultSoak.test.ts
@@ -1,6 +1,7 @@
 import { rmSync } from 'node:fs';
 import { dirname } from 'node:path';
 import { bundleDaemon } from './bundleDaemon';
+import { bundleProductionDaemon } from './bundleProductionDaemon';
 import { FATAL_KINDS } from './createFatalCallers';
 import { runFaultSoak } from './runFaultSoak';
 import { SOAK_CASES } from './soakCases';
@@ -46,6 +47,18 @@
     MAX_RUN_MS,
   );
 
+  it(
+    'keeps every guarantee while VMs change between this version and the one in production (seed 7)',
+    async () => {
+      const [program, otherProgram] = await Promise.all([bundleDaemon(), bundleProductionDaemon()]);
+      const run = await runFaultSoak({ seed: 7, faults: 6, program, otherProgram });
+      for (const path of [program, otherProgram]) rmSync(dirname(path), { recursive: true });
+      expect(run.findings).toEqual([]);
+      expect(run.served).toBeGreaterThan(0);
+    },
+    MAX_RUN_MS,
+  );
+
   it.each(SOAK_CASES.filter(({ isInSuite }) => isInSuite))(
     'keeps every guarantee in a run that has failed (seed $seed, $faults faults)',
     async ({ seed, faults }) => {
--- a/measurements/faultSoak/runFaultSoak.ts
+++ b/measurements/faultSoak/runFaultSoak.ts
@@ -31,6 +31,8 @@
   readonly faults: number;
   /** Path of the bundled daemon. */
   readonly program: string;
+  /** Daemon of another version, which runs beside it. */
+  readonly otherProgram?: string | undefined;
   /** Kinds of requests of which some end each server that runs them. */
   readonly fatalKinds?: readonly FatalKind[];
   /** Whether servers announce limits of requests. */
@@ -85,6 +87,7 @@
   const site = await startSoakSite({
     folder,
     program: options.program,
+    otherProgram: options.otherProgram,
     hasLinks: hasPartitions,
     serverHooks: {
       onReceived: (server) => {
--- a/measurements/faultSoak/startGatewayProcess.ts
+++ b/measurements/faultSoak/startGatewayProcess.ts
@@ -34,6 +34,8 @@
   readonly zone: string;
   /** Path of the bundled daemon. */
   readonly program: string;
+  /** Daemon of another version, which every second start runs; none by default. */
+  readonly otherProgram?: string | undefined;
   /** Folder for the settings file. */
   readonly folder: string;
   readonly storeAddress: string;
@@ -50,7 +52,7 @@
 
 /** Starts the process, and restarts it after every exit until it is closed. */
 export async function startGatewayProcess(options: GatewayProcessOptions): Promise<GatewayProcess> {
-  const { name, zone, program, folder, links } = options;
+  const { name, zone, program, otherProgram, folder, links } = options;
   const [callers = '', readiness = '', directory = '', peers = '', tables = '', metrics = ''] =
     await findFreeAddresses(6);
   const storeProxy = await startProxy(options.storeAddress);
@@ -78,10 +80,13 @@
     const last = disturbances.at(-1);
     if (last !== undefined) last.untilMs = Math.min(last.untilMs, performance.now());
   };
+  let starts = 0;
   const start = (): void => {
+    starts += 1;
+    const started = starts % 2 === 0 ? (otherProgram ?? program) : program;
     wasSignalled = false;
     endDisturbance();
-    child = spawn(process.execPath, ['--max-old-space-size=96', program, '--settings', file], {
+    child = spawn(process.execPath, ['--max-old-space-size=96', started, '--settings', file], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     for (const stream of [child.stdout, child.stderr]) {
--- a/measurements/faultSoak/startSoakSite.ts
+++ b/measurements/faultSoak/startSoakSite.ts
@@ -17,6 +17,10 @@
   readonly folder: string;
   /** Path of the bundled daemon. */
   readonly program: string;
+  /**
+   * Daemon of another version. VMs begin with either in turn, and change between both at every start.
+   */
+  readonly otherProgram?: string | undefined;
   /**
    * Whether VMs can be partitioned from the servers. A link accepts connections to a server that has ended, and
    * resets them.
@@ -31,7 +35,7 @@
 
 /** Resolves when all parts have started; the VMs may not be ready yet. */
 export async function startSoakSite(options: SoakSiteOptions): Promise<SoakSite> {
-  const { folder, program, serverHooks, hasLinks = false } = options;
+  const { folder, program, otherProgram, serverHooks, hasLinks = false } = options;
   const store = await startStore();
   const linkSets: ServerLinks[] = [];
   const hooks = {
@@ -65,7 +69,8 @@
       startLinkedGateway(store, hasLinks ? engines : [], {
         name: `vm-${index}`,
         zone: DOMAINS[index % DOMAINS.length] ?? 'a',
-        program,
+        program: index % 2 === 0 ? program : (otherProgram ?? program),
+        otherProgram: index % 2 === 0 ? otherProgram : program,
         folder,
       }),
     ),
--- a/src/peers/heartbeatCodec.test.ts
+++ b/src/peers/heartbeatCodec.test.ts
@@ -1,31 +1,43 @@
 import { encode } from '@msgpack/msgpack';
 import { decodeHeartbeat, encodeHeartbeat } from './heartbeatCodec';
 
-describe('decodeHeartbeat', () => {
-  it('decodes an encoded heartbeat', () => {
-    const heartbeat = {
-      vm: 'front-1',
-      incarnation: 'c0ffee',
-      isAccepting: true,
+const heartbeat = {
+  vm: 'front-1',
+  incarnation: 'c0ffee',
+  isAccepting: true,
+  work: {
+    servers: new Map([['engine-1', { reserved: 4_200, running: 3 }]]),
+    crossingPerMs: 0.5,
+  },
+  lost: [{ id: 'engine-2', bornMs: 1_700_000_000_000 }],
+  domains: [
+    {
+      failureDomain: 'a',
+      members: [{ vm: 'front-2', incarnation: 'f00', isAccepting: false, heardAgoMs: 120 }],
       work: {
-        servers: new Map([['engine-1', { reserved: 4_200, running: 3 }]]),
-        crossingPerMs: 0.5,
+        servers: new Map([['engine-3', { reserved: 9, running: 1 }]]),
+        crossingPerMs: 2,
       },
-      lost: [{ id: 'engine-2', bornMs: 1_700_000_000_000 }],
-      domains: [
-        {
-          failureDomain: 'a',
-          members: [{ vm: 'front-2', incarnation: 'f00', isAccepting: false, heardAgoMs: 120 }],
-          work: {
-            servers: new Map([['engine-3', { reserved: 9, running: 1 }]]),
-            crossingPerMs: 2,
-          },
-        },
-      ],
-    };
+    },
+  ],
+};
+
+/** The same heartbeat as version f63a78b encodes it, hexadecimal. */
+const PRODUCTION_DATAGRAM =
+  '9702a766726f6e742d31a6633066666565c3929193a8656e67696e652d31cd106803cb3fe0000000' +
+  '0000009192a8656e67696e652d32cf0000018bcfe568009193a1619194a766726f6e742d32a36630' +
+  '30c278929193a8656e67696e652d33090102';
+
+describe('decodeHeartbeat', () => {
+  it('decodes an encoded heartbeat', () => {
     expect(decodeHeartbeat(encodeHeartbeat(heartbeat))).toEqual(heartbeat);
   });
 
+  it('reads and writes what the version in production does', () => {
+    expect(decodeHeartbeat(Buffer.from(PRODUCTION_DATAGRAM, 'hex'))).toEqual(heartbeat);
+    expect(Buffer.from(encodeHeartbeat(heartbeat)).toString('hex')).toBe(PRODUCTION_DATAGRAM);
+  });
+
   it('rejects heartbeats with an item of another type at any position', () => {
     const sound = [
       2,
