Decode each row of a table once, and read the list of VMs less often

Cause: at each change of a table every VM decodes all of its rows: 221 servers take 4.7 ms the first time, 2.0 ms after five and 0.5 ms after twenty times; records of 195 VMs 1.8 to 0.2 ms. And each VM that comes or goes is a change for which each relay asks anew, four times a second. Change: rows that stay the same keep what they decode to. In a fleet with relays, the list of VMs is asked for at most every 0.6 s after a change; heartbeats tell sooner whether a VM takes callers.

--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -9,6 +9,7 @@
 import { trackListing } from '../../gateway/trackListing';
 import type { TrackedServer, TrackedServers } from '../../gateway/trackListing';
 import type { StoreHealth } from '../../gateway/createStoreHealth';
+import { createRowCache } from './createRowCache';
 import type { LogFields } from '../../gateway/job';
 import { followTable } from './followTable';
 import type { FollowOptions } from './followTable';
@@ -31,7 +32,8 @@
 
 /** Follows the table and keeps the server registry up to date. */
 export function followServers(options: FollowServersOptions): void {
-  const { decodeServer, registry, health, log, now } = options;
+  const { registry, health, log, now } = options;
+  const decodeServer = createRowCache(options.decodeServer);
   let tracked: TrackedServers = new Map();
 
   const isUsed = ({ missing }: TrackedServer): boolean =>
--- a/src/node/followMembership.ts
+++ b/src/node/followMembership.ts
@@ -2,6 +2,7 @@
 
 import type { ExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import type { PeerGroup } from '../adapters/gateway/createPeerGroup';
+import { createRowCache } from '../adapters/gateway/createRowCache';
 import { followTable } from '../adapters/gateway/followTable';
 import type { FollowOptions } from '../adapters/gateway/followTable';
 import type { StoreHealth } from '../gateway/createStoreHealth';
@@ -37,6 +38,7 @@
 export function followMembership(options: MembershipOptions): Membership {
   const { store, table, self, peers, claim, health, log } = options;
   const ownKey = VM_KEY_PREFIX + self.vm;
+  const decodeRecord = createRowCache(({ value }) => parsePeerRecord(value));
   let isRegistered = false;
   let isLeaving = false;
   /** Era in which the records were last read. */
@@ -46,7 +48,7 @@
     ...options,
     onRows: (rows, position) => {
       const records = [...rows.values()].flatMap((row) =>
-        row.key.startsWith(VM_KEY_PREFIX) ? (parsePeerRecord(row.value) ?? []) : [],
+        row.key.startsWith(VM_KEY_PREFIX) ? (decodeRecord(row) ?? []) : [],
       );
       isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
       peers.setRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -6,7 +6,6 @@
 
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
 import { createExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
@@ -17,7 +16,6 @@
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
 import { shareReports } from '../adapters/gateway/shareReports';
-import type { Catalog } from '../catalog/catalog';
 import type { ClockReading } from '../catalog/confirmation';
 import { checkReportedServers } from '../gateway/checkReportedServers';
 import { createStoreHealth } from '../gateway/createStoreHealth';
@@ -28,6 +26,7 @@
 import { choosePeer } from '../peers/choosePeer';
 import { chooseAddresses } from '../peers/listLivePeers';
 import type { PeerRecord } from '../peers/peer';
+import { applyCallerLimits } from './applyCallerLimits';
 import { createBackendView } from './createBackendView';
 import { createGatewayTask } from './createGatewayTask';
 import { createGatewayMetrics } from './createGatewayMetrics';
@@ -139,7 +138,7 @@
     ...followContext.optionsFor(platform.catalogTable, () => timings().catalogWaitMs),
     decodeCatalog: platform.decodeCatalog,
     onCatalog: (catalog) => {
-      applyLimits(callerServer, catalog);
+      applyCallerLimits(callerServer, catalog);
     },
     limitMs: () => settings.credentials.revoke_ms * MAX_UNCONFIRMED_SHARE,
   });
@@ -224,6 +223,7 @@
   });
   const membership = followMembership({
     ...followContext.optionsFor(platform.ownTable, () => timings().peerWaitMs),
+    batchDelayMs: () => timings().peerSettleMs,
     self,
     peers,
     claim: executorClaim,
@@ -287,8 +287,3 @@
     },
   };
 }
-
-function applyLimits(server: Server, { limits }: Catalog): void {
-  server.keepAliveTimeout = limits.idleTimeoutMs;
-  server.headersTimeout = limits.headerTimeoutMs;
-}
--- a/src/peers/chooseLongPollTimings.ts
+++ b/src/peers/chooseLongPollTimings.ts
@@ -18,6 +18,8 @@
   readonly peerWaitMs: number;
   /** Pause after a change, milliseconds, so that changes made together are read together. */
   readonly settleMs: number;
+  /** The same for the list of VMs, of which heartbeats tell sooner what is urgent. */
+  readonly peerSettleMs: number;
 }
 
 const SMALL_FLEET_TIMINGS: LongPollTimings = {
@@ -25,6 +27,7 @@
   serverWaitMs: 4_000,
   peerWaitMs: 8_000,
   settleMs: 120,
+  peerSettleMs: 120,
 };
 
 const RELAYED_FLEET_TIMINGS: LongPollTimings = {
@@ -32,6 +35,7 @@
   serverWaitMs: 1_200,
   peerWaitMs: 4_000,
   settleMs: 250,
+  peerSettleMs: 600,
 };
 
 /** @param vmCount number of VMs in the fleet */
