Count every server that answered a stream as one that ran it

Seen on a last read: a second run beside a silent one that ends with a failure answer was not counted among the servers that may have run the stream, so the silent stream moved there again, up to six attempts in all. Change: every outcome but a refusal, a connection that was not made and the caller's leaving counts. Test: platform/silentServers.test.ts, 'moves once where the second server answers with a failure'; before, more requests reached the second server.

--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -114,8 +114,11 @@
     }
     if (outcome.type === 'stopped') return;
     sentCount += 1;
-    if (outcome.type === 'not-run') backOffRefusingEngine(host, outcome.fault, entry);
-    if (outcome.type === 'broken' || outcome.type === 'overtaken') runServers.add(entry);
+    if (outcome.type === 'not-run') {
+      backOffRefusingEngine(host, outcome.fault, entry);
+      return;
+    }
+    runServers.add(entry);
     if (outcome.type !== 'broken') return;
     const isSuspicious = outcome.isLost === true && !detector.isHarmless();
     if (isSuspicious && incarnation !== undefined) {
