Move no stream whose events have come back

Seen on a last read: once a first engine had not answered a probe though others had, and its report then timed out, the stream stayed due to move at every check, also while its events came again. Change: such a move is due only while the silence is unusual. The test with 40 ms of silence failed before. Also a read-only type and shorter lines.

--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -33,7 +33,7 @@
   readonly progress: () => StreamProgress;
   readonly onProgress: (progress: StreamProgress) => void;
   /** Servers that may have run the request; a server that is silent afterwards still counts. */
-  readonly runServers: Set<string>;
+  readonly runServers: ReadonlySet<string>;
   /** Attempts that reached a server. */
   readonly sent: () => number;
   readonly mayStart: () => boolean;
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -5,6 +5,7 @@
 
 import type { AdmissionQueue } from './createAdmissionQueue';
 import type { GatewayHost, Job } from '../../gateway/job';
+import type { PeerRecord } from '../../peers/peer';
 import type { AttemptOutcome } from './attemptOutcome';
 import { createStreamAttempts } from './createStreamAttempts';
 import { estimateStreamSize } from './estimateStreamSize';
@@ -24,8 +25,7 @@
   const { tokens } = estimateStreamSize(job);
   /** VMs that the stream was forwarded to. */
   const triedPeers = new Set<string>();
-  const findPeer = (): ReturnType<typeof findForwardingPeer> =>
-    findForwardingPeer(host, job, triedPeers);
+  const findPeer = (): PeerRecord | undefined => findForwardingPeer(host, job, triedPeers);
   const attempts = createStreamAttempts(host, job, () => findPeer() !== undefined);
   const { runServers } = attempts;
   let isCounted = job.forwarded?.isCounted === true;
--- a/src/gateway/evaluateSilence.test.ts
+++ b/src/gateway/evaluateSilence.test.ts
@@ -63,6 +63,7 @@
 
   it('moves a stream at once whose first engine alone does not answer', () => {
     expect(isMoveDue({ silentMs: 170, isEntryUnanswered: true })).toBe(true);
+    expect(isMoveDue({ silentMs: 40, isEntryUnanswered: true })).toBe(false);
   });
 
   it('keeps a stream that is silent alone until its caller would soon leave', () => {
--- a/src/gateway/evaluateSilence.ts
+++ b/src/gateway/evaluateSilence.ts
@@ -3,8 +3,9 @@
  * A silence proves neither that the run has ended nor that its engine is gone, since sound engines fall
  * silent for a second or so. A move starts another run beside the silent one, which costs its prefill, so
  * something has to set the engine apart. Where it does not answer probes, the move is due once the next event
- * is late, or sooner if other engines have answered meanwhile. Where its other streams continue, only this connection may be dead or slow, and the move waits
- * until the caller would soon leave. Under overload all streams are silent, and moving them would add to it.
+ * is late, or sooner if other engines have answered meanwhile. Where its other streams continue, only this
+ * connection may be dead or slow, and the move waits until the caller would soon leave. Under overload all
+ * streams are silent, and moving them would add to it.
  */
 
 export interface Silence {
@@ -81,10 +82,11 @@
   const unusualMs = hasEvents
     ? Math.max(targetGapMs * PROBE_SHARE, meanGapMs * UNUSUAL_GAPS)
     : targetMs * FIRST_PROBE_SHARE;
+  // The answer may be missing for longer than the events.
+  const isUnanswered = silence.isEntryUnanswered && silentMs >= unusualMs;
   const probeIntervalMs = Math.max(PROBE_INTERVAL_MS, silentMs * PROBE_PAUSE_SHARE);
   return {
     isProbeDue: silentMs >= unusualMs && silence.sinceProbeMs >= probeIntervalMs,
-    isMoveDue:
-      isStartAtRisk || silence.isEntryUnanswered || isLost || (isOutOfPatience && isSilentAlone),
+    isMoveDue: isStartAtRisk || isUnanswered || isLost || (isOutOfPatience && isSilentAlone),
   };
 }
