Keep refused contents in the store, for when all VMs end at once

Cause: what VMs know of contents is in their memory and in each other's; nothing of it lasts. Ruled out: contents learnt from the first crash after the start: that costs four engines again. A row of another format is left alone. What starts together (claim, records, periodic work) moved from startGateway.ts to startFleetWork.ts.

--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -100,4 +100,13 @@
     cause: 'a sound request is refused for longer by crashes that a fatal part explains',
     isInSuite: false,
   },
+  {
+    seed: 604,
+    faults: 12,
+    fatalKinds: FATAL_KINDS,
+    hasLimits: true,
+    hasPartitions: true,
+    cause: 'a fatal part runs again after all gateways were killed at once',
+    isInSuite: false,
+  },
 ];
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -38,6 +38,8 @@
   readonly merge: (reports: readonly ContentReport[]) => void;
   /** Takes the reports that are due to be sent: new ones first, most crashes first; others once in a while. */
   readonly takeReports: (limit: number) => readonly ContentReport[];
+  /** Reports of the contents that are refused or run on trial, in the order of the contents. */
+  readonly listRefused: () => readonly ContentReport[];
   /** Called when there is something new to report. */
   readonly onNews: (listener: () => void) => void;
 }
@@ -167,6 +169,12 @@
     log('content suspected', { contents: contents.join(' '), server });
     for (const content of contents) attribute(server, content);
   };
+  const createReport = (content: string, tally: ContentTally): ContentReport => ({
+    content,
+    servers: tally.servers,
+    disproved: tally.disproved,
+    ageMs: Math.max(0, now() - tally.lastCrashAtMs),
+  });
   const removeOutdated = (): void => {
     const isOutdated = (tally: ContentTally): boolean => {
       const ageMs = now() - tally.lastCrashAtMs;
@@ -239,12 +247,15 @@
         )
         .slice(0, limit);
       for (const [content] of due) reportedMs.set(content, now());
-      return due.map(([content, { servers, disproved, lastCrashAtMs }]) => ({
-        content,
-        servers,
-        disproved,
-        ageMs: now() - lastCrashAtMs,
-      }));
+      return due.map(([content, tally]) => createReport(content, tally));
+    },
+    listRefused: () => {
+      updateCulprits();
+      const refused = new Set(culprits.flatMap(({ contents }) => contents));
+      return [...refused].toSorted().flatMap((content) => {
+        const tally = tallies.get(content);
+        return tally === undefined ? [] : [createReport(content, tally)];
+      });
     },
     onNews: (listener) => {
       listeners.push(listener);
--- a/src/node/createGatewayTask.ts
+++ b/src/node/createGatewayTask.ts
@@ -1,5 +1,6 @@
 /** The periodic work of a gateway: checks of servers, this VM's record, and placement. */
 
+import type { ContentKeeper } from '../adapters/gateway/createContentKeeper';
 import type { ExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import type { PeerGroup } from '../adapters/gateway/createPeerGroup';
 import type { Placer } from '../adapters/gateway/createPlacer';
@@ -15,6 +16,7 @@
   readonly membership: Membership;
   readonly executorClaim: ExecutorClaim;
   readonly placer: Placer;
+  readonly contentKeeper: Pick<ContentKeeper, 'tick'>;
   readonly storeHealth: StoreHealth;
   /** VMs that may place layers: they accept callers and reach the engines. */
   readonly listPlacers: () => readonly PeerRecord[];
@@ -63,6 +65,7 @@
     if (partition.isPartitioned()) return;
     if (executorClaim.tick(options.listPlacers()) && storeHealth.isReachable()) {
       placer.tick();
+      options.contentKeeper.tick();
       if (runs % CLEANUP_RUNS === 0) void membership.removeDeparted();
     }
   };
--- a/src/node/followMembership.test.ts
+++ b/src/node/followMembership.test.ts
@@ -20,6 +20,7 @@
   const writes: StoreWrite[] = [];
   const waits: ((read: TableRead) => void)[] = [];
   const applied: Position[] = [];
+  const contentRows: (string | undefined)[] = [];
   let table: TableRead = { type: 'rows', rows: [], position: at(3) };
   const peers: Pick<PeerGroup, 'setRecords'> = { setRecords: () => undefined };
   const membership = followMembership({
@@ -44,6 +45,8 @@
       release: () => Promise.resolve(),
     },
     executorKey: 'executor',
+    contentKeeper: { applyRow: (row) => contentRows.push(row?.value) },
+    contentKey: 'contents',
     health: {
       succeeded: () => undefined,
       failed: () => undefined,
@@ -59,7 +62,7 @@
     waits.at(-1)?.({ type: 'history-gone', era });
     await jest.advanceTimersByTimeAsync(1);
   };
-  return { membership, writes, applied, setBack };
+  return { membership, writes, applied, contentRows, setBack };
 }
 
 const createOwnRow = (incarnation: string, era: number): StoreRow => ({
@@ -87,6 +90,12 @@
     expect(membership.isRegistered()).toBe(true);
   });
 
+  it('passes on the row of refused contents with each change, also where there is none', async () => {
+    const { contentRows, setBack } = await follow();
+    await setBack(1, [{ key: 'contents', value: 'kept', position: at(2, 1) }]);
+    expect(contentRows).toEqual([undefined, 'kept']);
+  });
+
   it('does not write its record again once it has left', async () => {
     const { membership, writes, setBack } = await follow();
     await membership.unregister();
--- a/src/node/followMembership.ts
+++ b/src/node/followMembership.ts
@@ -1,5 +1,6 @@
 /** Maintains this VM's record in the store and follows the records of the other VMs. */
 
+import type { ContentKeeper } from '../adapters/gateway/createContentKeeper';
 import type { ExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import type { PeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createRowCache } from '../adapters/gateway/createRowCache';
@@ -28,6 +29,9 @@
   readonly claim: ExecutorClaim;
   /** Key of the row that names the executor, the VM that places layers. */
   readonly executorKey: string;
+  readonly contentKeeper: Pick<ContentKeeper, 'applyRow'>;
+  /** Key of the row that holds the contents that are refused. */
+  readonly contentKey: string;
   readonly health: StoreHealth;
   readonly log: (message: string, fields: LogFields) => void;
 }
@@ -53,6 +57,7 @@
       isRegistered = records.some(({ incarnation }) => incarnation === self.incarnation);
       peers.setRecords(records.filter(({ vm }) => vm !== self.vm).concat(self));
       claim.applyRow(rows.get(options.executorKey), position);
+      options.contentKeeper.applyRow(rows.get(options.contentKey));
       if (position.era > era && !isRegistered && !isLeaving) void register();
       era = position.era;
     },
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -6,11 +6,9 @@
 
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
-import { createExecutorClaim } from '../adapters/gateway/createExecutorClaim';
 import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
-import { createPlacer } from '../adapters/gateway/createPlacer';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { dispatchPeerRequest } from '../adapters/gateway/dispatchPeerRequest';
 import { followCatalog } from '../adapters/gateway/followCatalog';
@@ -28,13 +26,12 @@
 import type { PeerRecord } from '../peers/peer';
 import { applyCallerLimits } from './applyCallerLimits';
 import { createBackendView } from './createBackendView';
-import { createGatewayTask } from './createGatewayTask';
 import { createGatewayMetrics } from './createGatewayMetrics';
 import { createFollowContext } from './createFollowContext';
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
 import { openAuxiliaryListeners } from './openAuxiliaryListeners';
-import { followMembership } from './followMembership';
+import { startFleetWork } from './startFleetWork';
 import { waitUntil } from './waitUntil';
 import type { GatewaySettings } from './gatewaySettings';
 
@@ -77,7 +74,6 @@
 /** Length of an incarnation's id: short, as every heartbeat contains it, but different for each incarnation of a VM. */
 const INCARNATION_CHARS = 8;
 
-const EXECUTOR_KEY = 'executor';
 const MS_PER_SECOND = 1_000;
 
 /** Starts the gateway's listeners and follows the store. */
@@ -204,46 +200,30 @@
     isDraining: () => stoppingSinceMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
   });
-  const catalog = catalogFollower.current;
-  const placer = createPlacer({ registry, protocol, catalog, now, log: writeLog });
-  const executorClaim = createExecutorClaim({
-    store: followContext.store,
-    table: platform.ownTable,
-    key: EXECUTOR_KEY,
-    self,
-    now,
-    log: writeLog,
-    count,
-  });
-
   followServers({
     ...followContext.optionsFor(platform.serverTable, () => timings().serverWaitMs),
     decodeServer: platform.decodeServer,
     registry,
   });
-  const membership = followMembership({
-    ...followContext.optionsFor(platform.ownTable, () => timings().peerWaitMs),
-    batchDelayMs: () => timings().peerSettleMs,
-    self,
-    peers,
-    claim: executorClaim,
-    executorKey: EXECUTOR_KEY,
-  });
-
-  const runTask = createGatewayTask({
+  const fleetWork = startFleetWork({
     self,
     backend,
     peers,
-    membership,
-    executorClaim,
-    placer,
+    followContext,
+    timings,
+    table: platform.ownTable,
+    protocol,
+    catalog: catalogFollower.current,
     storeHealth,
     listPlacers: listReachingPeers,
     isAccepting,
     isStopping: () => stoppingSinceMs !== undefined,
     intervalMs: TASK_INTERVAL_MS,
+    now,
+    log: writeLog,
+    count,
   });
-  const taskTimer = setInterval(runTask, TASK_INTERVAL_MS);
+
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
   listen(callerServer, settings.listen.callers);
   const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
@@ -270,7 +250,7 @@
       stoppingSinceMs = now();
       writeLog('stopping', { active: gateway.active() });
       peers.announce();
-      const released = Promise.all([executorClaim.release(), membership.unregister()]);
+      const released = fleetWork.release();
       const deadlineMs = stoppingSinceMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
       await waitUntil(
         () => now() >= deadlineMs || (isClosing() && gateway.active() === 0),
@@ -278,7 +258,7 @@
           callerServer.closeIdleConnections();
         },
       );
-      clearInterval(taskTimer);
+      fleetWork.stop();
       sharing.close();
       peers.close();
       for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
