Take no silence for a failure while this VM runs late, and leave callers to others

Cause: answers and events wait in the slow process, and its timeouts take that for silence. Its reports make seven VMs check 36 servers each. And callers go on coming to it. Ruled out: the servers (no other VM found them silent); the links (kv_slow, 11 to 18 s, makes pauses of 0.2 to 0.3 s). Change: a timer measures the lag of the process. While it may have kept answers waiting, a timeout raises no suspicion and no stream counts as silent. From a mean lag of 80 ms on the VM leaves new callers to the others, if at least half of them accept callers, and gives up the executor's claim.

--- a/src/gateway/createServerRegistry.test.ts
+++ b/src/gateway/createServerRegistry.test.ts
@@ -5,6 +5,7 @@
 import { createFirstEventDelays } from './createFirstEventDelays';
 
 let nowMs = 0;
+let isLate = false;
 let registry: ServerRegistry;
 
 const usableIds = (): readonly string[] => registry.usableServers('drafts').map(({ id }) => id);
@@ -13,11 +14,13 @@
 
 beforeEach(() => {
   nowMs = 0;
+  isLate = false;
   const now = (): number => nowMs;
   registry = createServerRegistry({
     now,
     firstEventDelays: createFirstEventDelays(now),
     log: () => undefined,
+    isLate: () => isLate,
   });
   registry.list([server('x'), server('y')]);
 });
@@ -43,6 +46,18 @@
     expect(usableIds()).toEqual(['x', 'y']);
   });
 
+  it('suspects no server for a timeout while this process runs late', () => {
+    isLate = true;
+    registry.suspect('x', 'silent');
+    registry.suspect('y', 'unreached');
+    expect(usableIds()).toEqual(['x', 'y']);
+    registry.suspect('x', 'refused');
+    expect(usableIds()).toEqual(['y']);
+    isLate = false;
+    registry.suspect('y', 'silent');
+    expect(usableIds()).toEqual([]);
+  });
+
   it('offers suspected servers only where no other accepts new requests', () => {
     const lastResortIds = (): readonly string[] =>
       registry.lastResortServers('drafts').map(({ id }) => id);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -26,6 +26,8 @@
   readonly count?: (counter: string, label: string) => void;
   /** Runs a function later; used to announce that a server can be used again. */
   readonly callLater?: (run: () => void, delayMs: number) => void;
+  /** Whether answers may have waited in this process, so that their absence says nothing. */
+  readonly isLate?: () => boolean;
   /** Limits that servers announce; by default, this VM has all of each. */
   readonly limits?: RequestLimits;
 }
@@ -35,12 +37,16 @@
 
 const noop = (): void => undefined;
 
+/** Reasons that rest on a timeout of this process. */
+const TIMEOUT_REASONS: ReadonlySet<SuspicionReason> = new Set(['silent', 'unreached']);
+
 /** Reasons that tell of the end of an incarnation, unless it answers again. */
 const END_REASONS: ReadonlySet<SuspicionReason> = new Set(['refused', 'restarted']);
 
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const { now, log, firstEventDelays, count = noop, callLater = noop } = options;
+  const { isLate = () => false } = options;
   const { limits = createRequestLimits({ now, log, count }) } = options;
   let listed = new Map<string, ListedServer>();
   let byAddress = new Map<string, ListedServer>();
@@ -169,6 +175,10 @@
     suspect: (id, reason, detail) => {
       const server = listed.get(id);
       if (server === undefined) return;
+      if (TIMEOUT_REASONS.has(reason) && isLate()) {
+        count('suspicions_held_back', reason);
+        return;
+      }
       if (END_REASONS.has(reason)) for (const listener of endListeners) listener(server);
       if (!suspicions.raise(server, reason, detail)) return;
       for (const listener of suspicionListeners) listener(id);
--- a/src/node/createBackendView.ts
+++ b/src/node/createBackendView.ts
@@ -32,6 +32,8 @@
   readonly protocol: BackendProtocol;
   /** Undefined before the first catalog is known. */
   readonly catalog: () => Catalog | undefined;
+  /** Whether answers may have waited in this process. */
+  readonly isLate: () => boolean;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -43,10 +45,18 @@
 
 /** Creates a view without servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-  const { vm, vms, hasReachingPeers, protocol, catalog, now, log, count } = options;
+  const { vm, vms, hasReachingPeers, protocol, catalog, isLate, now, log, count } = options;
   const firstEventDelays = createFirstEventDelays(now);
   const limits = createRequestLimits({ now, log, count, vm, vms, random: Math.random });
-  const registry = createServerRegistry({ now, firstEventDelays, log, count, callLater, limits });
+  const registry = createServerRegistry({
+    now,
+    firstEventDelays,
+    log,
+    count,
+    callLater,
+    limits,
+    isLate,
+  });
   const partition = createPartitionDetector({
     servers: () => registry.allServers().filter(({ isDraining }) => !isDraining),
     checkConnection: protocol.checkConnection,
--- a/src/node/createGatewayTask.ts
+++ b/src/node/createGatewayTask.ts
@@ -22,6 +22,8 @@
   readonly listPlacers: () => readonly PeerRecord[];
   readonly isAccepting: () => boolean;
   readonly isStopping: () => boolean;
+  /** Whether this VM can't keep up and leaves callers to others. */
+  readonly isShedding: () => boolean;
   /** Time between two runs, milliseconds. */
   readonly intervalMs: number;
 }
@@ -53,6 +55,7 @@
   });
   let runs = 0;
   let wasAccepting = false;
+  let wasShedding = false;
   return () => {
     runs += 1;
     if (wasAccepting !== options.isAccepting()) peers.announce();
@@ -63,6 +66,13 @@
     if (!membership.isRegistered() && runs % REGISTRATION_RETRY_RUNS === 0)
       void membership.register();
     if (partition.isPartitioned()) return;
+    if (options.isShedding()) {
+      // Orders that come late are out of date; another VM takes over.
+      if (!wasShedding) void executorClaim.release();
+      wasShedding = true;
+      return;
+    }
+    wasShedding = false;
     if (executorClaim.tick(options.listPlacers()) && storeHealth.isReachable()) {
       placer.tick();
       options.contentKeeper.tick();
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -16,6 +16,8 @@
 import { shareReports } from '../adapters/gateway/shareReports';
 import type { ClockReading } from '../catalog/confirmation';
 import { checkReportedServers } from '../gateway/checkReportedServers';
+import { createLagMonitor, LAG_INTERVAL_MS } from '../gateway/createLagMonitor';
+import { createLoadShedding } from '../gateway/createLoadShedding';
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createRetryBudgets } from '../gateway/createRetryBudgets';
 import type { GatewayHost, LogFields } from '../gateway/job';
@@ -92,12 +94,14 @@
   const metrics = createGatewayMetrics();
   const { count, observe } = metrics;
   metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
+  const lag = createLagMonitor(now);
   const backend = createBackendView({
     vm: settings.vm.name,
     vms: () => peers.members(),
     hasReachingPeers: () => listReachingPeers().some(({ vm }) => vm !== self.vm),
     protocol,
     catalog: () => catalogFollower.current(),
+    isLate: lag.isLate,
     now,
     log: writeLog,
     count,
@@ -138,8 +142,19 @@
     },
     limitMs: () => settings.credentials.revoke_ms * MAX_UNCONFIRMED_SHARE,
   });
+  const shedding = createLoadShedding({
+    lag,
+    countPeers: () => ({
+      all: peers.size() - 1,
+      accepting: peers.live().filter(({ vm }) => vm !== self.vm).length,
+    }),
+    now,
+    log: writeLog,
+    count,
+  });
   const isAccepting = (): boolean =>
     stoppingSinceMs === undefined &&
+    !shedding.isShedding() &&
     catalogFollower.current() !== undefined &&
     catalogFollower.isConfirmed();
   const isClosing = (): boolean =>
@@ -178,7 +193,7 @@
       now,
       vms: () => peers.size(),
     }),
-    watch: createStreamWatch(registry),
+    watch: createStreamWatch(registry, lag.isLate),
     isRecentlyStarted: () => now() - startedAtMs < RECENT_START_MS,
     vms: peers.size,
     vm: self.vm,
@@ -218,12 +233,17 @@
     listPlacers: listReachingPeers,
     isAccepting,
     isStopping: () => stoppingSinceMs !== undefined,
+    isShedding: shedding.isShedding,
     intervalMs: TASK_INTERVAL_MS,
     now,
     log: writeLog,
     count,
   });
 
+  const lagTimer = setInterval(() => {
+    lag.tick();
+    shedding.check();
+  }, LAG_INTERVAL_MS);
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
   listen(callerServer, settings.listen.callers);
   const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
@@ -259,6 +279,7 @@
         },
       );
       fleetWork.stop();
+      clearInterval(lagTimer);
       sharing.close();
       peers.close();
       for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
