Keep engines that come up empty for layers that are lost, and believe a refusal sooner

The executor orders it to a redundant copy at once, and as the old one drains moves redundant engines that run streams: nine such orders, each engine without any layers for 1.3 to 6.5 s, since it ends what passes through it first. palermo lacks layers 15 to 23 from 24.7 to 28.9 s, agrigento 63 to 71 from 25.1 to 28.2 s; 59 streams are given up, most for want of links. Also: an engine that refuses connections at 5.96 s is replaced at 8.91 s, when its entry is gone; refusals counted as a silence. Ruled out: slow loads (9 layers take 1.6 s on a new engine). Layers of an engine that refuses connections count as lost after 600 ms.

--- a/src/adapters/gateway/createPlacer.test.ts
+++ b/src/adapters/gateway/createPlacer.test.ts
@@ -29,12 +29,14 @@
   });
   registry.list(servers);
   const protocol = {
-    fetchReport: () =>
-      Promise.resolve({
+    fetchReport: (address: string) => {
+      const layers = registry.findByAddress(address)?.layers;
+      return Promise.resolve({
         type: 'report',
         requestLimit: { type: 'none' },
-        report: { bornMs: 5, isBusy: false, acceptedOrders: 0, layers: { from: 0, to: 4 } },
-      }),
+        report: { bornMs: 5, isBusy: false, acceptedOrders: 0, layers },
+      });
+    },
     placeLayers: (_address: string, { from, to }: LayerRange) => {
       ordered.push(`${from}-${to}`);
       return Promise.resolve({ type: 'accepted' });
@@ -50,6 +52,7 @@
   });
   return {
     ordered,
+    list: registry.list,
     suspectAt: (ms: number, id: string, reason: SuspicionReason) => {
       nowMs = ms;
       registry.suspect(id, reason);
@@ -86,4 +89,29 @@
     await tickAt(310);
     expect(ordered).toEqual(['4-8']);
   });
+
+  it('replaces the layers of an engine that refuses connections sooner, but not at once', async () => {
+    const { ordered, suspectAt, tickAt } = createFixture();
+    suspectAt(0, 'c', 'refused');
+    await tickAt(590);
+    expect(ordered).toEqual([]);
+    await tickAt(600);
+    expect(ordered).toEqual(['4-8']);
+  });
+
+  it('keeps an engine that comes up empty for two seconds, unless layers are lost', async () => {
+    const kept = createFixture();
+    kept.list([...servers, createListedServer('d', { layers: undefined })]);
+    for (const ms of [0, 1_900]) await kept.tickAt(ms);
+    expect(kept.ordered).toEqual([]);
+    await kept.tickAt(2_000);
+    expect(kept.ordered).toHaveLength(1);
+
+    const needed = createFixture();
+    needed.list([...servers, createListedServer('d', { layers: undefined })]);
+    await needed.tickAt(0);
+    needed.list([createHolder('a', 0, 4), createListedServer('d', { layers: undefined })]);
+    await needed.tickAt(250);
+    expect(needed.ordered).toEqual(['0-8']);
+  });
 });
--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -11,7 +11,7 @@
 import type { ListedServer } from '../../chains/layerEngine';
 import type { BackendProtocol, EngineReport } from '../../gateway/backendProtocol';
 import type { ServerRegistry } from '../../gateway/serverRegistry';
-import type { ServerSuspicion } from '../../gateway/createSuspicions';
+import type { ServerSuspicion, SuspicionReason } from '../../gateway/createSuspicions';
 import type { LogFields } from '../../gateway/job';
 import type { PendingOrder } from '../../placing/pendingOrder';
 import { computeDueTime } from '../../placing/pendingOrder';
@@ -45,6 +45,18 @@
  */
 const LOST_AFTER_MS = 3_500;
 
+/**
+ * Time from which the layers of an engine that refuses connections count as lost: no process listens there, and an
+ * engine starts empty.
+ */
+const REFUSING_LOST_AFTER_MS = 600;
+
+/**
+ * Time for which an engine that comes up empty is a reserve. Where engines are replaced one by one, the new one
+ * comes up a second or so before the old one leaves.
+ */
+const RESERVE_MS = 2_000;
+
 /** Delay before the engine of a failed order is planned again. */
 const ORDER_RETRY_MS = 500;
 
@@ -59,6 +71,8 @@
   const { registry, protocol, catalog, now, log } = options;
   let pending = new Map<string, PendingOrder>();
   const listStates = new Map<string, ListState>();
+  /** Time from which an engine is known to be empty, by incarnation, of each service. */
+  const emptySinceMs = new Map<string, ReadonlyMap<string, number>>();
 
   const isListStable = (service: string, servers: readonly ListedServer[]): boolean => {
     if (servers.some(({ layers }) => layers !== undefined)) return true;
@@ -118,8 +132,24 @@
     });
     if (result.type !== 'accepted') replanAfter(order.id, ORDER_RETRY_MS);
   };
+  const lostAfterMs: Readonly<Partial<Record<SuspicionReason, number>>> = {
+    restarted: 0,
+    refused: REFUSING_LOST_AFTER_MS,
+  };
   const isLost = ({ reason, sinceMs }: ServerSuspicion): boolean =>
-    reason === 'restarted' || now() - sinceMs >= LOST_AFTER_MS;
+    now() - sinceMs >= (lostAfterMs[reason] ?? LOST_AFTER_MS);
+  const recordEmptyEngines = (service: string, servers: readonly ListedServer[]): void => {
+    const known = emptySinceMs.get(service);
+    const empty = servers.filter(({ layers }) => layers === undefined).map(formatIncarnation);
+    emptySinceMs.set(
+      service,
+      new Map(empty.map((engine) => [engine, known?.get(engine) ?? now()])),
+    );
+  };
+  const isReserve = (server: ListedServer): boolean => {
+    const sinceMs = emptySinceMs.get(server.service)?.get(formatIncarnation(server));
+    return sinceMs !== undefined && now() - sinceMs < RESERVE_MS;
+  };
   const createCandidate = (
     server: ListedServer,
     model: PipelineModel,
@@ -131,6 +161,7 @@
     layers: pending.get(server.id)?.layers ?? server.layers,
     isAssignable:
       !pending.has(server.id) && !suspects.has(server.id) && registry.quietMs(server.id) === 0,
+    isReserve: isReserve(server),
     loadShare: registry.loadShare(server.id, model),
   });
   const placeModel = (service: string, model: PipelineModel): void => {
@@ -139,6 +170,7 @@
     const suspicions = registry.suspicions();
     const suspects = new Set(suspicions.map(({ id }) => id));
     const lost = new Set(suspicions.filter(isLost).map(({ id }) => id));
+    recordEmptyEngines(service, servers);
     const holding = servers.filter(({ id }) => !lost.has(id));
     const orders = planLayers(
       model,
@@ -169,3 +201,7 @@
     },
   };
 }
+
+function formatIncarnation({ id, bornMs }: ListedServer): string {
+  return `${id}/${bornMs}`;
+}
--- a/src/chains/fillShortages.ts
+++ b/src/chains/fillShortages.ts
@@ -2,6 +2,7 @@
 
 import type { LayerRange } from '../engines/engine';
 import { computeLayerCapacity } from './computeLayerCapacity';
+import { countHolders } from './countHolders';
 import type { PipelineModel } from './pipelineModel';
 import type { LayerOrder, PlacementCandidate } from './placementCandidate';
 
@@ -11,7 +12,10 @@
 /** Tokens added to a layer's capacity before it is inverted; a layer without capacity weighs most. */
 const SHORTAGE_OFFSET = 2_000;
 
-/** Assigns each empty engine the range with the least token capacity, largest engines first. */
+/**
+ * Assigns each empty engine the range with the least token capacity, largest engines first. A reserve is assigned
+ * only where its failure domain lacks layers that it could hold, or no engine at all holds them.
+ */
 export function fillShortages(
   model: PipelineModel,
   engines: readonly PlacementCandidate[],
@@ -26,13 +30,24 @@
         computeLayerCapacity(model, other.kind) - computeLayerCapacity(model, one.kind),
     );
   const placed = [...engines];
-  return empty.map((engine) => {
+  return empty.flatMap((engine) => {
+    if (engine.isReserve === true && !isNeeded(model, placed, engine)) return [];
     const layers = findScarcestRange(model, placed, engine);
     placed.push({ ...engine, layers });
-    return { id: engine.id, layers };
+    return [{ id: engine.id, layers }];
   });
 }
 
+function isNeeded(
+  model: PipelineModel,
+  placed: readonly PlacementCandidate[],
+  { failureDomain }: PlacementCandidate,
+): boolean {
+  const own = placed.filter((engine) => engine.failureDomain === failureDomain);
+  const fitting = own.reduce((sum, { kind }) => sum + computeLayerCapacity(model, kind), 0);
+  return countHolders(model, fitting < model.layers ? placed : own).includes(0);
+}
+
 /** Finds the range of the engine's size that covers the greatest shortage. */
 function findScarcestRange(
   model: PipelineModel,
--- a/src/chains/placementCandidate.ts
+++ b/src/chains/placementCandidate.ts
@@ -10,6 +10,8 @@
   readonly layers: LayerRange | undefined;
   /** Whether it may be assigned other layers; false if it is leaving or already executes an order. */
   readonly isAssignable: boolean;
+  /** Whether it is kept for layers that its failure domain lacks, and takes no others. */
+  readonly isReserve?: boolean;
   /** Share of its request memory in use, 0 to 1; redundant engines with less load are reassigned first. */
   readonly loadShare: number;
 }
--- a/src/chains/planLayers.ts
+++ b/src/chains/planLayers.ts
@@ -4,7 +4,8 @@
  * Every engine of a chain reserves memory for the same number of tokens, since the fullest engine limits
  * the chain. Chains within one failure domain come first: their tokens use no slow link, and the failure
  * of a domain affects only its own chains. Remaining engines and engines that restart empty take the
- * layers with the least token capacity, so a gap is filled before a redundant copy is made.
+ * layers with the least token capacity, so a gap is filled before a redundant copy is made. A reserve only fills
+ * gaps: an engine without requests loads at once, while a redundant one first ends those that it runs.
  */
 
 import { placeInitialChains } from './placeInitialChains';
--- a/src/chains/reassignSpares.ts
+++ b/src/chains/reassignSpares.ts
@@ -1,6 +1,7 @@
 /** Fills gaps in the layers that a failure domain holds by reassigning its redundant engines. */
 
 import { computeLayerCapacity } from './computeLayerCapacity';
+import { countHolders } from './countHolders';
 import type { PipelineModel } from './pipelineModel';
 import type { LayerOrder, PlacementCandidate } from './placementCandidate';
 
@@ -21,21 +22,6 @@
   return orders.length > 0 ? orders : reassignSpare(model, engines);
 }
 
-/** Number of engines that hold each layer. */
-function countHolders(
-  model: PipelineModel,
-  engines: readonly PlacementCandidate[],
-): readonly number[] {
-  const holders = Array.from({ length: model.layers }, () => 0);
-  for (const { layers } of engines) {
-    if (layers === undefined) continue;
-    for (let layer = layers.from; layer < layers.to; layer += 1) {
-      holders[layer] = (holders[layer] ?? 0) + 1;
-    }
-  }
-  return holders;
-}
-
 /** Reassigns one engine whose layers are all held elsewhere to the first layers that no engine holds. */
 function reassignSpare(
   model: PipelineModel,
