Ask no engine that events of other streams have just passed

Change: a silent stream asks its first engine and, of the others, those that no event of any stream of this VM has passed in the last 60 ms, or whose last report is older than four seconds. What an event has passed counts as having answered, so an engine that does not answer while others work is still replaced after 60 ms. The counter server_queries has a label for the reason. Ruled out: asking only the first engine for what it waits for: its report is up to 200 ms old, so repairs would come later. Tests: createChainRepair.test.ts, two new cases (all three engines were asked before); createServerRegistry.test.ts.

--- a/src/adapters/gateway/createChainRepair.test.ts
+++ b/src/adapters/gateway/createChainRepair.test.ts
@@ -117,6 +117,23 @@
     expect(repair.isEntryUnanswered()).toBe(true);
   });
 
+  it('asks only the first engine and those that are not known to work', async () => {
+    const { registry, repair, probed } = createRepair({ result: ACCEPTED });
+    for (const id of ['a', 'b', 'c']) registry.recordReport(id, { pace: 1, memoryShare: 0 });
+    registry.recordPassage(['a', 'b']);
+    await repair.probe();
+    expect(probed).toEqual(['a', 'c']);
+  });
+
+  it('takes an engine that is known to work for one that has answered', async () => {
+    const { registry, repair } = createRepair({ result: ACCEPTED, unanswered: ['a'] });
+    for (const id of ['b', 'c']) registry.recordReport(id, { pace: 1, memoryShare: 0 });
+    registry.recordPassage(['b', 'c']);
+    void repair.probe();
+    await sleep(300);
+    expect(repair.isEntryUnanswered()).toBe(true);
+  });
+
   it('starts on another chain instead of sending a lost part over the links between failure domains', async () => {
     const { repair, paths, moves } = createRepair({
       result: ACCEPTED,
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -18,9 +18,11 @@
 
 export interface ChainRepair {
   readonly includes: (server: string) => boolean;
+  /** Ids of the engines of the chain. */
+  readonly engines: () => readonly string[];
   /** Replaces failed engines, unless the first engine is one of them. */
   readonly repair: (failedIds: ReadonlySet<string>, cause: RepairCause) => Promise<void>;
-  /** Probes all engines of the chain and replaces those that have failed. */
+  /** Probes the first engine, and all that are not known to work otherwise; replaces those that have failed. */
   readonly probe: () => Promise<void>;
   /** Whether the first engine has not answered the last probe, though others have. */
   readonly isEntryUnanswered: () => boolean;
@@ -145,7 +147,7 @@
     if (rejectingServer !== undefined) {
       registry.backOff(rejectingServer.id, REPAIR_BACKOFF_MS);
       // Its report excludes it from new paths for as long as it is full.
-      void host.probes.ask(rejectingServer.id);
+      void host.probes.ask(rejectingServer.id, 'refused_request');
     } else if (status === NO_SUCH_RUN && options.hasEvents()) options.onRunGone();
   };
   /** Finds engines of the chain that are suspected, or that the first engine waits for. */
@@ -200,13 +202,23 @@
     else await repair(unanswered, 'unanswered');
   };
   return {
+    engines: () => stages.map(({ id }) => id),
     includes: (server) => stages.some(({ id }) => id === server),
     repair,
     probe: async () => {
       probedMs = now();
-      const queries = new Map(stages.map(({ id }) => [id, host.probes.ask(id)]));
-      void replaceUnanswered(queries);
-      const [first] = await Promise.all(queries.values());
+      const isAsked = ({ id }: Stage): boolean => id === entry?.id || !registry.isKnownToWork(id);
+      const asked = stages
+        .filter(isAsked)
+        .map(({ id }) => [id, host.probes.ask(id, 'silent_stream')] as const);
+      const working = stages.filter((stage) => !isAsked(stage));
+      void replaceUnanswered(
+        new Map<string, Promise<unknown>>([
+          ...asked,
+          ...working.map(({ id }) => [id, Promise.resolve()] as const),
+        ]),
+      );
+      const [first] = await Promise.all(asked.map(([, query]) => query));
       if (first?.type === 'report') isEntryUnanswered = false;
       if (isOver()) return;
       const stalled = first?.type === 'report' ? first.report.stalled : [];
--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -124,7 +124,7 @@
     if (isSuspicious && incarnation !== undefined) {
       host.contentSuspicions.recordLoss(incarnation, job.contents);
     }
-    void host.probes.ask(entry);
+    void host.probes.ask(entry, 'lost_run');
     if (rule.isResumable) host.registry.backOff(entry, ENGINE_BACKOFF_MS);
   };
   const startAttempt = (chain: ReservedChain, predecessor?: StreamAttempt): RunningAttempt => {
@@ -205,5 +205,5 @@
 function backOffRefusingEngine(host: GatewayHost, fault: string | undefined, entry: string): void {
   const refusingId = host.registry.findByAddress(fault ?? '')?.id ?? entry;
   host.registry.backOff(refusingId, ENGINE_BACKOFF_MS);
-  void host.probes.ask(refusingId);
+  void host.probes.ask(refusingId, 'refused_request');
 }
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -146,6 +146,7 @@
     if (!hasOwnEvents) firstEventDelay.started();
     hasOwnEvents = true;
     registry.recordEvent(entry.id);
+    registry.recordPassage(chain.engines());
     options.onProgress(progress);
     job.response.write(Buffer.concat(newEvents.map(({ bytes }) => bytes)));
   };
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -124,7 +124,7 @@
     }
     if (outcome.type === 'unknown' && outcome.isLost) {
       host.contentSuspicions.recordLoss(server, job.contents);
-      void host.probes.check(server.id);
+      void host.probes.check(server.id, 'lost_run');
     }
     if (!rule.isIdempotent || host.contentSuspicions.isSuspect(job.contents)) break;
   }
--- a/src/gateway/checkReportedServers.ts
+++ b/src/gateway/checkReportedServers.ts
@@ -18,10 +18,10 @@
   const isKnown = (id: string): boolean => suspicions().some((suspicion) => suspicion.id === id);
   return {
     onSuspected: (id, bornMs) => {
-      if (find(id)?.bornMs === bornMs && !isKnown(id)) void check(id);
+      if (find(id)?.bornMs === bornMs && !isKnown(id)) void check(id, 'reported');
     },
     onRecovered: (id) => {
-      if (isKnown(id)) void check(id);
+      if (isKnown(id)) void check(id, 'reported');
     },
   };
 }
--- a/src/gateway/createServerProbes.test.ts
+++ b/src/gateway/createServerProbes.test.ts
@@ -74,7 +74,7 @@
   const queryAt = async (ms: number, next: ReportResult = report): Promise<void> => {
     nowMs = ms;
     answer = next;
-    await probes.ask('x');
+    await probes.ask('x', 'lost_run');
   };
   /** Runs the recheck once, and lets its queries complete. */
   const recheckAt = async (ms: number, results: Results = {}, intervalMs = 250): Promise<void> => {
--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -11,13 +11,13 @@
 import type { ServerRegistry } from './serverRegistry';
 import type { ServerSuspicion } from './createSuspicions';
 import { createSharedQueries } from './createSharedQueries';
-import type { SharedQueries } from './createSharedQueries';
+import type { QueryReason, SharedQueries } from './createSharedQueries';
 
 export interface ServerProbes {
   /** Queries one server for its report and updates the registry from it. */
-  readonly ask: (id: string) => Promise<ReportResult>;
+  readonly ask: (id: string, reason: QueryReason) => Promise<ReportResult>;
   /** Queries one server for whether it runs, in the way of its service, and updates the registry. */
-  readonly check: (id: string) => Promise<void>;
+  readonly check: (id: string, reason: QueryReason) => Promise<void>;
   /**
    * Queries those of the servers that have no recent report.
    *
@@ -41,6 +41,7 @@
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
+  readonly count?: (counter: string, label: string) => void;
 }
 
 /** Pace and memory share from which a report is logged, as a possible cause of a refused request. */
@@ -56,7 +57,7 @@
 /** Creates the probes. */
 export function createServerProbes(options: ServerProbeOptions): ServerProbes {
   const { registry, protocol, profileOf, now, log } = options;
-  const { isPartitioned = () => false } = options;
+  const { isPartitioned = () => false, count = () => undefined } = options;
   const evidenceOf = (id: string): Evidence => {
     const profile = profileOf(registry.find(id)?.service ?? '');
     if (profile === undefined || profile.model !== undefined) return 'report';
@@ -75,13 +76,14 @@
     registry.suspect(id, found);
     return { type: found };
   };
-  const fetchReport = async (id: string): Promise<ReportResult> => {
+  const fetchReport = async (id: string, reason: QueryReason): Promise<ReportResult> => {
     const server = registry.find(id);
     if (server === undefined) return { type: 'failed', detail: 'not listed' };
     if (isPartitioned()) return { type: 'failed', detail: 'partitioned' };
     if (registry.quietMs(id) > 0) return { type: 'failed', detail: 'wants no requests' };
     if (registry.limitWaitMs(id, 'control') > 0) return checkConnection(server);
     registry.recordControl(id);
+    count('server_queries', reason);
     const sentMs = now();
     const result = await protocol.fetchReport(server.address);
     if (result.type === 'report') {
@@ -99,7 +101,10 @@
     else if (evidenceOf(id) === 'any-answer') registry.clearSuspicion(id);
     return result;
   };
-  const checkHealth = async (id: string): Promise<HealthResult | undefined> => {
+  const checkHealth = async (
+    id: string,
+    reason: QueryReason,
+  ): Promise<HealthResult | undefined> => {
     const server = registry.find(id);
     const healthPath = profileOf(server?.service ?? '')?.healthPath;
     const isLeftAlone = isPartitioned() || registry.quietMs(id) > 0;
@@ -109,6 +114,7 @@
       return undefined;
     }
     registry.recordControl(id);
+    count('server_queries', reason);
     const result = await protocol.checkHealth(server.address, healthPath);
     if (result.type !== 'answered') {
       registry.suspect(id, result.type);
@@ -144,12 +150,12 @@
   };
   return {
     ask: reports.ask,
-    check: async (id) => {
-      await queriesByEvidence[evidenceOf(id)].ask(id);
+    check: async (id, reason) => {
+      await queriesByEvidence[evidenceOf(id)].ask(id, reason);
     },
     askUnreported: async (ids) => {
       const unreported = ids.filter((id) => !registry.hasRecentReport(id));
-      await Promise.all(unreported.map(reports.ask));
+      await Promise.all(unreported.map((id) => reports.ask(id, 'unreported')));
       return unreported.length > 0;
     },
     recheckSuspected: (intervalMs) => {
@@ -159,7 +165,7 @@
         const askedMs = queries.askedMs(suspicion.id);
         const waitMs =
           evidence === 'report' ? intervalMs : computePlainWaitMs(suspicion, askedMs, intervalMs);
-        if (now() - askedMs >= waitMs) void queries.ask(suspicion.id);
+        if (now() - askedMs >= waitMs) void queries.ask(suspicion.id, 'suspected');
       }
       reports.removeOld();
       healthChecks.removeOld();
--- a/src/gateway/createServerRegistry.test.ts
+++ b/src/gateway/createServerRegistry.test.ts
@@ -58,6 +58,19 @@
     expect(usableIds()).toEqual([]);
   });
 
+  it('knows that an engine works from events that pass it, for a moment and with a recent report', () => {
+    registry.recordPassage(['x', 'y']);
+    expect(registry.isKnownToWork('x')).toBe(false);
+    registry.recordReport('x', { pace: 1, memoryShare: 0 });
+    registry.recordReport('y', { pace: 1, memoryShare: 0 });
+    nowMs = 59;
+    expect(registry.isKnownToWork('x')).toBe(true);
+    registry.suspect('y', 'refused');
+    expect(registry.isKnownToWork('y')).toBe(false);
+    nowMs = 60;
+    expect(registry.isKnownToWork('x')).toBe(false);
+  });
+
   it('offers suspected servers only where no other accepts new requests', () => {
     const lastResortIds = (): readonly string[] =>
       registry.lastResortServers('drafts').map(({ id }) => id);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -8,6 +8,7 @@
 import type { FirstEventDelays } from './createFirstEventDelays';
 import type { ChainEngine, ListedServer } from '../chains/layerEngine';
 import { createEngineReports } from './createEngineReports';
+import { createPassages } from './createPassages';
 import { createRequestLimits } from './createRequestLimits';
 import type { RequestLimits } from './createRequestLimits';
 import { createServerLoads } from './createServerLoads';
@@ -55,6 +56,7 @@
   const backOffUntilMs = new Map<string, number>();
   const reports = createEngineReports(now);
   const lastEventsMs = new Map<string, number>();
+  const passages = createPassages(now);
   const loads = createServerLoads(now);
   const changeListeners: (() => void)[] = [];
   const suspicionListeners: ((id: string) => void)[] = [];
@@ -122,6 +124,7 @@
     suspicions.retain(next);
     for (const id of backOffUntilMs.keys()) if (!next.has(id)) backOffUntilMs.delete(id);
     reports.retain(next);
+    passages.retain(next);
     for (const id of lastEventsMs.keys()) if (!next.has(id)) lastEventsMs.delete(id);
     listed = next;
     byAddress = new Map([...next.values()].map((server) => [server.address, server]));
@@ -201,6 +204,8 @@
       lastEventsMs.set(id, now());
     },
     lastEventMs: (id) => lastEventsMs.get(id) ?? Number.NEGATIVE_INFINITY,
+    recordPassage: passages.record,
+    isKnownToWork: (id) => passages.isRecent(id) && reports.isRecent(id) && !suspicions.has(id),
     crossingShare: (model) => {
       const tokensPerMs = loads.peerCrossingPerMs() + crossDomainMeter.tokensPerMs();
       return (tokensPerMs * model.activationBytes) / model.domainBytesPerMs;
--- a/src/gateway/createSharedQueries.test.ts
+++ b/src/gateway/createSharedQueries.test.ts
@@ -16,7 +16,7 @@
   const askAt = (...times: readonly number[]): void => {
     for (const ms of times) {
       nowMs = ms;
-      void queries.ask('x');
+      void queries.ask('x', 'suspected');
     }
   };
   const setNow = (ms: number): void => {
@@ -63,7 +63,7 @@
     const { queries, askAt, setNow } = createQueries();
     askAt(0);
     setNow(1);
-    void queries.ask('y');
+    void queries.ask('y', 'suspected');
     setNow(5_001);
     queries.removeOld();
     expect([queries.askedMs('x'), queries.askedMs('y')]).toEqual([Number.NEGATIVE_INFINITY, 1]);
--- a/src/gateway/createSharedQueries.ts
+++ b/src/gateway/createSharedQueries.ts
@@ -1,8 +1,12 @@
 /** Queries backend servers so that requests which wait for the same server share one query. */
 
+/** What a query is for, as metrics name it. */
+export type QueryReason =
+  'silent_stream' | 'refused_request' | 'lost_run' | 'unreported' | 'reported' | 'suspected';
+
 export interface SharedQueries<Result> {
   /** Queries the server, or returns the result of a query that is recent enough to be shared. */
-  readonly ask: (id: string) => Promise<Result>;
+  readonly ask: (id: string, reason: QueryReason) => Promise<Result>;
   /** Start of the last query, monotonic, milliseconds; negative infinity if none is known. */
   readonly askedMs: (id: string) => number;
   /** Drops queries that are too old for any use. */
@@ -10,7 +14,7 @@
 }
 
 export interface SharedQueryOptions<Result> {
-  readonly query: (id: string) => Promise<Result>;
+  readonly query: (id: string, reason: QueryReason) => Promise<Result>;
   /** Whether the server has answered. */
   readonly isAnswer: (result: Result) => boolean;
   /** Time for which a query without a result is shared, milliseconds. */
@@ -42,10 +46,10 @@
   const { query, isAnswer, openSharedMs = UNANSWERED_SHARED_MS, now } = options;
   const queries = new Map<string, SharedQuery<Result>>();
   return {
-    ask: (id) => {
+    ask: (id, reason) => {
       const known = queries.get(id);
       if (known !== undefined && now() - known.atMs < known.sharedMs) return known.result;
-      const result = query(id);
+      const result = query(id, reason);
       const opened = { atMs: now(), sharedMs: openSharedMs, result };
       queries.set(id, opened);
       void result.then((value) => {
--- a/src/gateway/serverRegistry.ts
+++ b/src/gateway/serverRegistry.ts
@@ -58,6 +58,10 @@
   readonly recordEvent: (id: string) => void;
   /** Time of the last event of any stream whose chain starts there, monotonic, milliseconds. */
   readonly lastEventMs: (id: string) => number;
+  /** Records the engines of the chain from which an event has arrived. */
+  readonly recordPassage: (ids: readonly string[]) => void;
+  /** Whether an event has just passed the engine, and its condition is known from a recent report. */
+  readonly isKnownToWork: (id: string) => boolean;
   /**
    * Counts a request as load on the engines of a path, and towards the limit of the first if it is to be sent.
    *
--- a/src/node/createBackendView.ts
+++ b/src/node/createBackendView.ts
@@ -98,6 +98,7 @@
       isPartitioned: () => partition.isPartitioned() && hasReachingPeers(),
       now,
       log,
+      count,
     }),
     contentSuspicions: createContentSuspicions({
       registry: { onEnded, onAnswer: registry.onAnswer },
