Let the second relay of a failure domain follow the first for servers and VMs

Cause: both relays of a domain follow every table at the store, and each change ends a wait of each. Ruled out: claims and writes (36); starts (reads and first waits, 200). Change: the second relay follows servers and VMs through the first while that one answers, and the store otherwise; it may be followed itself. The catalog, whose age decides whether requests are taken, it follows at the store as before. Check replaced: none; the case of a VM that is no relay and follows another one stays. Two relays that take each other for the first end when their copies are too old (2.6 s), which is the bound of the case 'had no answer from it for too long'. Tests: createRelayedStore.test.ts, two new cases.

--- a/src/adapters/gateway/createRelayedStore.test.ts
+++ b/src/adapters/gateway/createRelayedStore.test.ts
@@ -48,15 +48,17 @@
       store,
       vm,
       relays: () => from,
+      isFollowedByAllRelays: (table) => table === 'all',
       now: () => reading.monotonicMs,
       log: (message) => log.push(message),
     });
   return {
     http: server,
-    publish: (copy: TableCopy, isDirect = true) => {
-      relay.publish('t', { copy, known: reading, isDirect, maxAgeMs: 2_600 });
+    publish: (copy: TableCopy, isOffered = true) => {
+      relay.publish('t', { copy, known: reading, isOffered, maxAgeMs: 2_600 });
     },
     asked: storeWatches,
+    relays,
     log,
     follow,
     advance: (ms: number) => {
@@ -147,6 +149,24 @@
     expect(storeWatches).toEqual([7, 7]);
   });
 
+  it('follows the first relay as the second one, unless the table is followed by all relays', async () => {
+    const { publish, follow, relays, asked: storeWatches } = await startRelay();
+    publish(createTableCopy([], at(7)));
+    const second = follow('second', [...relays, createPeerRecord('second')]);
+    expect(await second.watch('t', at(7), 20)).toMatchObject({ relayed: { heldMs: 0 } });
+    expect(storeWatches).toEqual([]);
+    await second.watch('all', at(8), 20);
+    expect(storeWatches).toEqual([8]);
+  });
+
+  it('follows the store itself as the second relay while the first one does not answer', async () => {
+    const { follow, relays, asked: storeWatches } = await startRelay();
+    const second = follow('second', [...relays, createPeerRecord('second')]);
+    await second.watch('t', at(7), 20);
+    await second.watch('t', at(7), 20);
+    expect(storeWatches).toEqual([7, 7]);
+  });
+
   it('follows the store itself if it is a relay or if there are no relays', async () => {
     const { follow, asked: storeWatches } = await startRelay();
     await follow('relay').watch('t', at(7), 20);
--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -1,7 +1,9 @@
 /**
  * Access to the store for a VM of a large fleet: long polls for changes go to a relay in the same failure
  * domain, everything else to the store itself. After a failed poll the relay is backed off and the store is
- * queried instead, so updates depend on another VM for no longer than one poll.
+ * queried instead, so updates depend on another VM for no longer than one poll. The first relay of a domain always
+ * follows the store, and the second one too where the age of the table decides on requests; other tables it follows
+ * through the first, so that one VM of a domain asks for them.
  */
 
 import { Agent } from 'node:http';
@@ -18,6 +20,8 @@
   readonly vm: string;
   /** Relays in order of preference; none where every VM follows the store. */
   readonly relays: () => readonly PeerRecord[];
+  /** Whether every relay follows the table at the store itself. */
+  readonly isFollowedByAllRelays: (table: string) => boolean;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -45,19 +49,23 @@
 });
 
 export function createRelayedStore(options: RelayedStoreOptions): WatchedStore {
-  const { store, vm, relays, now, log } = options;
+  const { store, vm, relays, isFollowedByAllRelays, now, log } = options;
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 4 });
   const backOffUntilMs = new Map<string, number>();
-  let followedVm: string | undefined;
+  /** By table. */
+  const followedVms = new Map<string, string | undefined>();
 
-  const chooseRelay = (): PeerRecord | undefined => {
+  const chooseRelay = (table: string): PeerRecord | undefined => {
     const chosen = relays();
-    if (chosen.some((relay) => relay.vm === vm)) return undefined;
-    return chosen.find((relay) => (backOffUntilMs.get(relay.vm) ?? 0) <= now());
+    const own = chosen.findIndex((relay) => relay.vm === vm);
+    if (own >= 0 && isFollowedByAllRelays(table)) return undefined;
+    const earlier = own < 0 ? chosen : chosen.slice(0, own);
+    return earlier.find((relay) => (backOffUntilMs.get(relay.vm) ?? 0) <= now());
   };
-  const recordRelay = (relay: PeerRecord | undefined): void => {
-    if (followedVm !== relay?.vm) log('store followed through', { relay: relay?.vm ?? 'none' });
-    followedVm = relay?.vm;
+  const recordRelay = (table: string, relay: PeerRecord | undefined): void => {
+    if (followedVms.get(table) === relay?.vm) return;
+    log('store followed through', { table, relay: relay?.vm ?? 'none' });
+    followedVms.set(table, relay?.vm);
   };
   const queryRelay = async (
     relay: PeerRecord,
@@ -93,8 +101,8 @@
   return {
     ...store,
     watch: async (table, since, waitMs) => {
-      const relay = chooseRelay();
-      recordRelay(relay);
+      const relay = chooseRelay(table);
+      recordRelay(table, relay);
       if (relay === undefined) return store.watch(table, since, waitMs);
       const result = await queryRelay(relay, table, since, waitMs);
       if (result.type !== 'unavailable') return result;
--- a/src/adapters/gateway/createTableRelay.ts
+++ b/src/adapters/gateway/createTableRelay.ts
@@ -1,7 +1,7 @@
 /**
  * Relays the store's tables to other VMs: answers their long polls for changes from this VM's own copies,
- * with the age of those copies. It answers only for tables that it follows at the store itself, so two VMs
- * can never wait for each other.
+ * with the age of those copies. A VM that is no relay does not answer from copies that it has from another VM. Two
+ * relays that each take the other for the first can wait for each other no longer than their copies stay valid.
  */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -15,8 +15,8 @@
   readonly copy: TableCopy;
   /** Time at which the copy was last known to be current. */
   readonly known: ClockReading;
-  /** Whether this VM follows the table at the store itself. */
-  readonly isDirect: boolean;
+  /** Whether other VMs may follow this copy. */
+  readonly isOffered: boolean;
   /** Age beyond which this VM's copy is too old for others, milliseconds. */
   readonly maxAgeMs: number;
 }
@@ -52,7 +52,7 @@
     const published = tables.get(table);
     const agoMs = computeAge(published);
     const isBehind = since.era > (published?.copy.position.era ?? 0);
-    if (published?.isDirect !== true || isBehind || agoMs > published.maxAgeMs) {
+    if (published?.isOffered !== true || isBehind || agoMs > published.maxAgeMs) {
       sendJson(response, UNAVAILABLE);
       return;
     }
@@ -88,7 +88,7 @@
     publish: (table, published) => {
       tables.set(table, published);
       for (const request of [...holdTimers.keys()]) {
-        const isAnswerable = !published.isDirect || hasChanges(request);
+        const isAnswerable = !published.isOffered || hasChanges(request);
         if (request.table === table && isAnswerable) respond(request);
       }
     },
@@ -103,7 +103,7 @@
         return;
       }
       const heldRequest = { table, since, askedMs: clock().monotonicMs, response };
-      if (tables.get(table)?.isDirect !== true || hasChanges(heldRequest)) respond(heldRequest);
+      if (tables.get(table)?.isOffered !== true || hasChanges(heldRequest)) respond(heldRequest);
       else hold(heldRequest, waitMs);
     },
   };
--- a/src/node/createFollowContext.ts
+++ b/src/node/createFollowContext.ts
@@ -34,6 +34,7 @@
 export function createFollowContext(options: FollowContextOptions): FollowContext {
   const { timings, health, log, now, clock } = options;
   const relay = createTableRelay(clock);
+  const isOwnRelay = (): boolean => options.relays().some(({ vm }) => vm === options.vm);
   // Fenced last, so that the answers of relays are checked too.
   const store = createFencedStore({ ...options, store: createRelayedStore(options) });
   store.onEra(health.setBack);
@@ -52,7 +53,7 @@
         relay.publish(table, {
           copy,
           known,
-          isDirect,
+          isOffered: isDirect || isOwnRelay(),
           maxAgeMs: waitMs() * 2 + RESPONSE_MARGIN_MS,
         });
       },
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -127,6 +127,8 @@
     store,
     vm: self.vm,
     relays: () => peers.relays(),
+    // Its age decides whether requests are taken.
+    isFollowedByAllRelays: (table) => table === platform.catalogTable,
     timings,
     health: storeHealth,
     now,
