--- a/src/gateway/createLoadShedding.ts
+++ b/src/gateway/createLoadShedding.ts
@@ -16,7 +16,7 @@
 
 export interface LoadSheddingOptions {
   readonly lag: Pick<LagMonitor, 'meanLagMs'>;
-  /** Other VMs: how many there are, and how many of them accept callers. */
+  /** Other VMs: how many there are, and how many of them accept callers and reach the backend servers. */
   readonly countPeers: () => { readonly all: number; readonly accepting: number };
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -148,7 +148,7 @@
     lag,
     countPeers: () => ({
       all: peers.size() - 1,
-      accepting: peers.live().filter(({ vm }) => vm !== self.vm).length,
+      accepting: listReachingPeers().filter(({ vm }) => vm !== self.vm).length,
     }),
     now,
     log: writeLog,
