Let contents that can't be told apart run one without the other

Cause: contents that explain about the same crashes were refused only together.

Change: of such contents the likeliest one (most crashes, then the rarest in recent arrivals) waits three seconds after each crash, so that the others run without it and are cleared; a request that holds it goes to one server.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -135,6 +135,7 @@
     const { version: catalogVersion } = currentCatalog;
     const accepted = { request, response, rule, profile, workspace, arrivedMs, body };
     const job = createJob({ ...accepted, catalogVersion, forwarded });
+    host.contentSuspicions.recordArrival(job.contents);
     const heldMs = host.contentSuspicions.heldMs(job.contents);
     if (heldMs > 0) {
       refuse(request, response, 'held-back', { retryAfterMs: heldMs });
--- a/src/crashes/findCulprits.ts
+++ b/src/crashes/findCulprits.ts
@@ -16,6 +16,9 @@
 /** Contents of which at least one is harmful; a request is refused if it holds all of them. */
 export interface Culprits {
   readonly contents: readonly string[];
+  /** Those of the contents that explain most crashes. */
+  readonly mostCrashes: readonly string[];
+  readonly lastCrashAtMs: number;
   /** Incarnations of the servers that have crashed. */
   readonly servers: readonly string[];
   /** Time until which such requests are refused; afterwards they run on trial, milliseconds. */
@@ -81,13 +84,19 @@
 ): Culprits {
   const ownCrashes = servers.filter((server) => !explained.has(server)).length;
   const holdMs = computeHoldMs(limit.maxCrashes + ownCrashes, limit);
-  return { contents: [content], servers, untilMs: lastCrashAtMs + holdMs };
+  const contents = [content];
+  const untilMs = lastCrashAtMs + holdMs;
+  return { contents, mostCrashes: contents, servers, lastCrashAtMs, untilMs };
 }
 
 function toCulprits(group: readonly Candidate[], servers: readonly string[]): Culprits {
   return {
     contents: group.map(({ content }) => content),
+    mostCrashes: group
+      .filter((member) => member.servers.length === servers.length)
+      .map(({ content }) => content),
     servers,
+    lastCrashAtMs: Math.max(...group.map((member) => member.lastCrashAtMs)),
     untilMs: Math.max(
       ...group.map(
         (member) => member.lastCrashAtMs + computeHoldMs(member.servers.length, member.limit),
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -204,6 +204,68 @@
     });
   });
 
+  describe('with sound streams that are lost beside harmful ones again and again', () => {
+    const FIRST = 'part:s:first';
+    const BAD = 'part:s:bad';
+    const BESIDE = 'part:s:beside';
+    const requests = {
+      sound: ['request:sound', FIRST],
+      beside: ['request:beside', FIRST, BESIDE],
+      bad: ['request:bad', FIRST, BAD],
+    } as const;
+    const createVmWithCrashes = (): ReturnType<typeof createVm> => {
+      const vm = createVm();
+      for (const [index, server] of servers.entries()) {
+        for (const contents of Object.values(requests)) vm.recordArrival(contents);
+        vm.recordArrival(requests.beside);
+        const isBeside = index > 0;
+        vm.crashAll(
+          server,
+          [`request:${index}`, FIRST, BAD],
+          ...(isBeside ? [[`request:beside-${index}`, FIRST, BESIDE]] : []),
+        );
+      }
+      return vm;
+    };
+
+    it('refuses the likeliest part while the others show whether they do harm', () => {
+      const vm = createVmWithCrashes();
+      expect(vm.heldMsOf(requests.bad)).toBe(3_000);
+      expect([vm.heldMsOf(requests.sound), vm.heldMsOf(requests.beside)]).toEqual([0, 0]);
+      vm.recordHarmlessRunOf(requests.beside);
+      expect(vm.heldMsOf(requests.bad)).toBeGreaterThan(3_000);
+    });
+
+    it('lets all of them run again if none has shown it', () => {
+      const vm = createVmWithCrashes();
+      vm.setTime(3_000);
+      expect(vm.heldMsOf(requests.bad)).toBe(0);
+    });
+
+    it('sends a request with the likeliest part to one server only', () => {
+      const vm = createVmWithCrashes();
+      expect([requests.bad, requests.beside].map(vm.isSuspect)).toEqual([true, false]);
+    });
+  });
+
+  it('tries a part soon that nearly all requests hold, however many servers have ended', () => {
+    const vm = createVm();
+    for (const [index, server] of servers.entries()) {
+      const contents = [`request:${index}`, 'part:s:common'];
+      vm.recordArrival(contents);
+      vm.crashAll(server, contents);
+    }
+    const next = ['request:next', 'part:s:common'];
+    expect(vm.heldMsOf(next)).toBe(5_000);
+    vm.setTime(5_000);
+    servers.forEach(() => {
+      vm.recordArrival(next);
+    });
+    expect([vm.heldMsOf(next), vm.isSuspect(next)]).toEqual([0, true]);
+    vm.recordHarmlessRunOf(next);
+    expect(vm.isSuspect(next)).toBe(false);
+  });
+
   it('goes on refusing a content however many others are suspected', () => {
     const vm = createVm();
     for (const server of [a, b, c]) vm.crash(server, 'bad');
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -8,6 +8,7 @@
 import { Map as ImmutableMap } from 'immutable';
 import { LRUCache } from 'lru-cache';
 import { addCrash } from '../crashes/addCrash';
+import { choosePrimeSuspect } from '../crashes/choosePrimeSuspect';
 import { crashLimitOf } from '../crashes/crashLimitOf';
 import type { ContentReport, ContentTally } from '../crashes/contentTally';
 import type { Culprits } from '../crashes/findCulprits';
@@ -15,6 +16,7 @@
 import { joinContentTally } from '../crashes/joinContentTally';
 import { listOpenCrashes } from '../crashes/listOpenCrashes';
 import { pruneCrashTallies } from '../crashes/pruneCrashTallies';
+import { createContentArrivals } from './createContentArrivals';
 import type { ServerRegistry } from './serverRegistry';
 import type { LogFields } from './job';
 
@@ -26,6 +28,8 @@
 }
 
 export interface ContentSuspicions {
+  /** Records a request that has arrived, whether or not it is refused. */
+  readonly recordArrival: (contents: readonly string[]) => void;
   /** Time for which a request with these contents is refused, milliseconds; 0 if it may run. */
   readonly heldMs: (contents: readonly string[]) => number;
   /** Whether such a request is refused, or runs on trial and should be sent to one server only. */
@@ -62,6 +66,12 @@
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
+/** Time after a crash in which one of the contents that can't be told apart waits for the others to run. */
+const SEPARATION_MS = 3_000;
+
+/** Longest time for which a content is refused that nearly all requests hold: little else is served meanwhile. */
+const WIDESPREAD_HOLD_MS = 5_000;
+
 /** Time for which crashes are kept, milliseconds. */
 const TALLY_VALID_MS = 600_000;
 
@@ -76,6 +86,11 @@
 const MAX_HARMLESS_CONTENTS = 4_096;
 const MAX_LOSSES = 1_000;
 
+interface HeldGroup extends Culprits {
+  /** The one of its contents that waits until the others have run; undefined if all may. */
+  readonly primeSuspect: string | undefined;
+}
+
 interface Loss {
   readonly server: string;
   readonly contents: readonly string[];
@@ -86,12 +101,13 @@
 export function createContentSuspicions(options: ContentSuspicionsOptions): ContentSuspicions {
   const { registry, now, log, count } = options;
   let tallies: ImmutableMap<string, ContentTally> = ImmutableMap();
-  let culprits: readonly Culprits[] = [];
+  let culprits: readonly HeldGroup[] = [];
   /** Whether `culprits` follows from the tallies as they are. */
   let areCulpritsKnown = true;
   let losses: readonly Loss[] = [];
   const endedMs = new LRUCache<string, number>({ max: MAX_LOSSES });
   const harmlessMs = new LRUCache<string, number>({ max: MAX_HARMLESS_CONTENTS });
+  const arrivals = createContentArrivals(now);
   const reportedMs = new Map<string, number>();
   const listeners: (() => void)[] = [];
 
@@ -124,7 +140,10 @@
     if (areCulpritsKnown) return;
     areCulpritsKnown = true;
     const before = culprits;
-    culprits = findCulprits(tallies, crashLimitOf, now());
+    culprits = findCulprits(tallies, crashLimitOf, now()).map((group) => ({
+      ...group,
+      primeSuspect: choosePrimeSuspect(group, arrivals.rateOf),
+    }));
     const untilMsBefore = new Map(before.map((group) => [formatContents(group), group.untilMs]));
     const currently = new Set(culprits.map(formatContents));
     for (const group of culprits) {
@@ -133,6 +152,7 @@
       log('content held back', {
         contents: formatContents(group),
         servers: group.servers.join(' '),
+        primeSuspect: group.primeSuspect,
         heldMs: Math.round(group.untilMs - now()),
       });
     }
@@ -141,8 +161,18 @@
         log('content released', { contents: formatContents(group) });
     }
   };
-  const findOwnCulprits = (contents: readonly string[]): readonly Culprits[] =>
-    culprits.filter((group) => group.contents.every((one) => contents.includes(one)));
+  const getHeldUntilMs = (group: HeldGroup, contents: readonly string[]): number => {
+    if (group.contents.every((one) => contents.includes(one))) {
+      const isWidespread = group.contents.every(arrivals.isWidespread);
+      const longestMs = isWidespread ? WIDESPREAD_HOLD_MS : Number.POSITIVE_INFINITY;
+      return Math.min(group.untilMs, group.lastCrashAtMs + longestMs);
+    }
+    const isPrime = group.primeSuspect !== undefined && contents.includes(group.primeSuspect);
+    return isPrime ? group.lastCrashAtMs + SEPARATION_MS : Number.NEGATIVE_INFINITY;
+  };
+  const isInGroup = (group: HeldGroup, contents: readonly string[]): boolean =>
+    group.contents.every((one) => contents.includes(one)) ||
+    (group.primeSuspect !== undefined && contents.includes(group.primeSuspect));
   const disprove = (content: string, servers: readonly string[]): void => {
     const tally = tallies.get(content);
     if (tally === undefined) return;
@@ -209,9 +239,10 @@
   });
 
   return {
+    recordArrival: arrivals.record,
     heldMs: (contents) =>
-      Math.max(0, ...findOwnCulprits(contents).map(({ untilMs }) => untilMs - now())),
-    isSuspect: (contents) => findOwnCulprits(contents).length > 0,
+      Math.max(0, ...culprits.map((group) => getHeldUntilMs(group, contents) - now())),
+    isSuspect: (contents) => culprits.some((group) => isInGroup(group, contents)),
     recordLoss: (incarnation, contents) => {
       const server = formatIncarnation(incarnation);
       if (isRecent(endedMs.get(server), LOSS_VALID_MS)) {
