Review: a gateway that starts after a drill of the store serves a revoked key

Cause: only a running gateway keeps the newer catalog when the store comes back from an older copy; one that starts takes the older one as confirmed. Tried: three machines, a revocation, a drill 5.3 s later and a kill of one process.

--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -27,6 +27,7 @@
   let version = 0;
   let era = 0;
   const waiters = new Set();
+  let isAway = false;
   const feedListeners = [];
 
   const idOf = ({ table, part = '', key }) => JSON.stringify([table, part, key]);
@@ -110,6 +111,10 @@
     respond(response, 200, {});
   };
   const server = createServer((request, response) => {
+    if (isAway) {
+      response.destroy();
+      return;
+    }
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => {
@@ -140,6 +145,11 @@
                 ),
         },
       ]),
+    /** While the store is away, it resets all connections. */
+    setAway: (next) => {
+      isAway = next;
+      if (next) server.closeAllConnections();
+    },
     /** @returns the copy from which the store can come back */
     copy: () => ({ rows: new Map(rows), history: [...history], version }),
     /** Comes back from a copy: what was written since is gone, and an era begins. */
