Review: gateways send work to a draining server after store connections went silent

Cause: the wait for changes of the server list ends only 4.9 s after its connection went silent, while machines are in touch again after 3 s and a drain is due after 2 s. Tried: three machines, silence once, a drain 0.3 s later.

--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -22,6 +22,7 @@
   const { id, service, zone, store, workMs = 15, onRun, answer = () => `done at ${id}` } = options;
   const born = Date.now();
   let state = 'ready';
+  let version = 'v1';
   let isLeaving = false;
   const sockets = new Set();
 
@@ -100,7 +101,7 @@
       service,
       address,
       zone,
-      version: 'v1',
+      version,
       slots: 6,
       state,
       coldLeftMs: 0,
@@ -112,6 +113,11 @@
     id,
     address,
     publish,
+    /** Changes its entry, so that waits for changes of the list end. */
+    setVersion: (next) => {
+      version = next;
+      publish();
+    },
     /** Reports that it drains, and says so in its answers from then on. */
     drain: () => {
       state = 'draining';
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -12,13 +12,13 @@
 /** Deadline of the clients for both, from the sheet, milliseconds. */
 export const DEADLINE_MS = 1_500;
 
-export function createConfiguration({ version = 1, tenants } = {}) {
+export function createConfiguration({ version = 1, tenants, isPublic = false } = {}) {
   const common = {
     host: SITE_HOST,
     timeoutMs: 800,
     targetLatencyMs: 121,
     priority: 2,
-    public: false,
+    public: isPublic,
   };
   return {
     version,
@@ -31,7 +31,14 @@
         maxAttempts: 1,
         service: SERVICE,
       },
-      { ...common, name: 'r-job', prefix: STATUS, kind: 'safe', maxAttempts: 2, service: SERVICE },
+      {
+        ...common,
+        name: 'r-job',
+        prefix: STATUS,
+        kind: 'safe',
+        maxAttempts: 2,
+        service: SERVICE,
+      },
     ],
     services: [
       { name: SERVICE, healthPath: '/health', maxConnections: 96, protocol: 'h1', tls: false },
