--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,57 +1,102 @@
-/** Clients send bodies with methods for which Node.js frames no body by itself. */
+/** Clients use kept connections while the list of servers holds an entry whose address has no valid port. */
 
 import { dirname } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { HAS_TROUBLE, runCase, waitUntilReady } from '../lib/case.mjs';
-import { sendOnce } from '../lib/client.mjs';
+import { openConnection } from '../lib/client.mjs';
+import { now } from '../lib/record.mjs';
 import * as site from '../lib/site.mjs';
 
-/** Methods of the requests, in turn; without the disruption all are sent with POST. */
-const METHODS = HAS_TROUBLE ? ['GET', 'DELETE', 'OPTIONS'] : ['POST', 'POST', 'POST'];
+const MACHINES = 3;
+const CLIENTS_PER_MACHINE = 5;
 
-const REQUESTS = 30;
+/** Work of a call; the sheet's kinds have 21 to 43 ms on average, and up to five times as much. */
+const WORK_MS = 60;
 
-/** A request inside the body of another one, which names a tenant of its own. */
-const smuggle = (id) =>
-  `POST ${site.BOOKING}book HTTP/1.1\r\nHost: ${site.SITE_HOST}\r\nX-Request-Id: inner-${id}\r\n` +
-  `X-Tenant: another-tenant\r\nContent-Length: 2\r\n\r\n{}`;
+/** Time of calm before the entry appears, more than `stableWindowMs`, and time with it. */
+const CALM_MS = 4_000;
+const PLAYED_MS = 12_000;
 
-const bodies = [(id) => `{"job":"${id}","reason":"moved"}`, smuggle];
+/** LOST: more than this many requests from kept connections. */
+const ALLOWED_LOSSES = 3;
+
+/** Written by someone who is no engine of the service; the port is above 65535. */
+const FORGED_ENTRY = {
+  service: site.SERVICE,
+  address: '127.0.0.1:80800',
+  zone: 'nbo-a',
+  version: 'v1',
+  slots: 6,
+  state: 'ready',
+  coldLeftMs: 0,
+  seqNo: 1,
+};
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (parts) => {
   const { record, store, startServers, startGateways } = parts;
+  const ran = new Map();
+  const lost = [];
+  let ends = 0;
   store.put('op', 'config', site.createConfiguration());
-  const sent = new Map();
-  let changed = 0;
   await startServers({
-    onRun: ({ requestId, server, method, path, body }) => {
-      const own = sent.get(requestId);
-      const isSame =
-        own !== undefined && own.method === method && own.path === path && own.body === body;
-      if (!isSame) changed += 1;
-      record.write(isSame ? 'run' : 'run changed', { id: requestId, server, method, path, body });
+    workMs: WORK_MS,
+    onRun: ({ requestId, server }) => {
+      ran.set(requestId, server);
+    },
+  });
+  const gateways = await startGateways(MACHINES, {
+    onEnd: (end) => {
+      ends += 1;
+      record.write('process ended by itself', end);
     },
   });
-  const [gateway] = await startGateways(1);
-  await waitUntilReady([gateway]);
-  for (let count = 0; count < REQUESTS; count += 1) {
-    const id = `r-${count}`;
-    const request = {
-      method: METHODS[count % METHODS.length],
-      path: `${site.STATUS}job?n=${count}`,
-      body: bodies[count % bodies.length](id),
-    };
-    sent.set(id, request);
-    record.write('sent', { id, ...request });
-    const { end, status, body } = await sendOnce(gateway.front, {
-      ...request,
-      headers: site.createHeaders(id),
-      deadlineMs: site.DEADLINE_MS,
-    });
-    record.write('answered', { id, end, status, body });
-    await sleep(50);
+  await waitUntilReady(gateways);
+  record.write('machines are ready');
+  const endMs = now() + CALM_MS + PLAYED_MS;
+  let requests = 0;
+  let answers = 0;
+  const runClient = async (gateway, client) => {
+    let connection;
+    let isKept = false;
+    for (let count = 0; now() < endMs; count += 1) {
+      if (connection?.isOpen() !== true) {
+        connection = openConnection(gateway.front);
+        isKept = false;
+      }
+      const id = `${gateway.name}-${client}-${count}`;
+      requests += 1;
+      const result = await connection.send({
+        method: 'POST',
+        path: `${site.BOOKING}book`,
+        headers: site.createHeaders(id),
+        body: `{"job":"${id}"}`,
+        deadlineMs: site.DEADLINE_MS,
+      });
+      const isLost = result.end !== 'answered' && isKept && ran.has(id);
+      if (isLost) lost.push(id);
+      record.write(
+        isLost ? 'lost' : 'request',
+        { id, ranAt: ran.get(id), isKept, end: result.end, status: result.status },
+        { isQuiet: !isLost },
+      );
+      if (result.end === 'answered') {
+        answers += 1;
+        isKept = true;
+      }
+      await sleep(result.end === 'answered' ? 20 : 150);
+    }
+    connection?.close();
+  };
+  const clients = gateways.flatMap((gateway) =>
+    Array.from({ length: CLIENTS_PER_MACHINE }, (_, client) => runClient(gateway, client)),
+  );
+  await sleep(CALM_MS);
+  if (HAS_TROUBLE) {
+    store.put('servers', 'i-other', FORGED_ENTRY);
+    record.write('entry of another writer', FORGED_ENTRY);
   }
-  record.write('result', { requests: REQUESTS, changed });
-  return changed > 0;
+  await Promise.all(clients);
+  record.write('result', { requests, answers, ran: ran.size, ends, lost: lost.length });
+  return lost.length > ALLOWED_LOSSES;
 });
