--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -40,11 +40,16 @@
     record.write('verdict', { trouble: HAS_TROUBLE, verdict });
     process.exit({ true: BROKEN, false: HELD }[String(result)] ?? NOT_RUN);
   };
-  setTimeout(() => {
-    record.write('time is up');
+  const giveUp = (cause) => {
+    record.write('given up', { cause });
     result = undefined;
     finish();
+  };
+  setTimeout(() => {
+    giveUp('time is up');
   }, LIMIT_MS).unref();
+  // No process of the case outlives it.
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => giveUp(signal));
   const add = (part) => {
     parts.push(part);
     return part;
