--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -48,6 +48,10 @@
   setTimeout(() => {
     giveUp('time is up');
   }, LIMIT_MS).unref();
+  // An error of a stand-in says nothing about the rule.
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, (error) => giveUp(String(error?.stack ?? error)));
+  }
   // No process of the case outlives it.
   for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => giveUp(signal));
   const add = (part) => {
@@ -56,7 +60,8 @@
   };
   const store = add(await startStore());
   try {
-    if (!existsSync(join(ROOT, 'target'))) throw new Error('the program is not built');
+    if (!existsSync(join(ROOT, 'target/citronpassd.js')))
+      throw new Error('the program is not built');
     result = await play({
       record,
       store,
