Log when the copy of a table stops being followed, and how old it became

The timeline of the incident leaves three hypotheses that no line told apart: only the store as a whole was logged as lost or back, and one table may stay behind while another is current. Each table now says when a call for it fails first, and the age of its copy when the next one succeeds.

--- a/src/adapters/gateway/followTable.test.ts
+++ b/src/adapters/gateway/followTable.test.ts
@@ -52,6 +52,7 @@
     onFailure: () => undefined,
     clock: () => ({ monotonicMs: 0, wallMs: 0 }),
     random: () => 0.5,
+    log: () => undefined,
   });
   await jest.advanceTimersByTimeAsync(1);
   return {
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -1,9 +1,14 @@
 /** Follows one table of the store: reads it once, then long-polls for changes for as long as the VM runs. */
 
 import type { ClockReading } from '../../catalog/confirmation';
-import { computeConfirmedTime, computeRelayedConfirmedTime } from '../../catalog/confirmation';
+import {
+  computeConfirmedTime,
+  computeRelayedConfirmedTime,
+  elapsedMs,
+} from '../../catalog/confirmation';
 import type { Position } from '../../contracts/position';
 import type { StoreRow, TableRead, WatchedStore } from '../../contracts/watchedStore';
+import type { LogFields } from '../../gateway/job';
 import type { TableCopy } from '../../peers/tableCopy';
 import { applyTableChanges, createTableCopy } from '../../peers/tableCopy';
 
@@ -24,6 +29,7 @@
   readonly clock: () => ClockReading;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  readonly log: (message: string, fields: LogFields) => void;
 }
 
 /** Bounds of the exponential back-off after failed calls. */
@@ -40,7 +46,20 @@
   const { store, table, waitMs, batchDelayMs, clock } = options;
   let copy: TableCopy | undefined;
   let backoffMs = FIRST_BACKOFF_MS;
+  let answeredAt = clock();
+  let failures = 0;
 
+  const recordFailure = (detail: string): void => {
+    failures += 1;
+    if (failures === 1) options.log('table not followed', { table, detail, ageMs: ageMs() });
+    options.onFailure(detail);
+  };
+  const recordAnswer = (): void => {
+    if (failures > 0) options.log('table followed again', { table, failures, ageMs: ageMs() });
+    failures = 0;
+    answeredAt = clock();
+  };
+  const ageMs = (): number => Math.round(elapsedMs(answeredAt, clock()));
   const applyRead = (result: RowsRead): void => {
     const isFirst = copy === undefined;
     copy =
@@ -58,10 +77,11 @@
         ? await store.read(table)
         : await store.watch(table, copy.position, wantedMs);
     if (result.type === 'unavailable') {
-      options.onFailure(result.detail);
+      recordFailure(result.detail);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
       return backoffMs * (0.5 + options.random());
     }
+    recordAnswer();
     backoffMs = FIRST_BACKOFF_MS;
     if (result.type === 'history-gone') {
       const isNewEra = copy?.position.era !== result.era;
