--- a/standins/proxy/startProxy.ts
+++ b/standins/proxy/startProxy.ts
@@ -23,6 +23,8 @@
    * @param port port from which the proxy has opened the connection to the target
    */
   readonly callerClosedMs: (port: number) => number | undefined;
+  /** Drops all further bytes of every open connection without closing it; new connections work. */
+  readonly silence: () => void;
   /** Resets every open connection. */
   readonly reset: () => void;
   readonly close: () => void;
@@ -41,6 +43,7 @@
 export async function startProxy(target: string): Promise<FaultProxy> {
   const [host, port] = target.split(':');
   const open = new Set<Socket>();
+  const silenced = new WeakSet<Socket>();
   const waiters = new Set<() => void>();
   /** By port of the connection to the target. */
   const callers = new Map<number, { closedMs: number | undefined }>();
@@ -76,14 +79,15 @@
         });
     };
     from.on('data', (chunk: Buffer) => {
-      isBlocked ||= blocked.includes(mode);
+      isBlocked ||= blocked.includes(mode) || silenced.has(from);
       if (!isBlocked) enqueue(() => to.write(chunk));
     });
     from.on('end', () => {
+      isBlocked ||= silenced.has(from);
       if (!isBlocked) enqueue(() => to.end());
     });
     from.on('close', (hadError) => {
-      if (!hadError) return;
+      if (!hadError || silenced.has(from)) return;
       if (HOLDING_MODES.has(mode)) enqueue(() => to.resetAndDestroy());
       else to.resetAndDestroy();
     });
@@ -135,6 +139,9 @@
       for (const waiter of waiters) waiter();
       waiters.clear();
     },
+    silence: () => {
+      for (const socket of open) silenced.add(socket);
+    },
     callerClosedMs: (from) => callers.get(from)?.closedMs,
     reset,
     close: () => {
