Use no connection to the store again after one of them fell silent

A call to the store takes an idle connection. A pool now drops its idle connections when a call gets no answer, and the next call opens a new one. Relays are called through a pool too.

Ruled out: keep-alive probes, as the runtime sends ten of them, a second apart, and has no option for it. The test that failed: with four connections open and silent, three calls end as unavailable, unavailable, unavailable; now unavailable, rows, rows.

--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -6,13 +6,12 @@
  * through the first, so that one VM of a domain asks for them.
  */
 
-import { Agent } from 'node:http';
 import * as z from 'zod';
 import type { Position } from '../../contracts/position';
 import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
 import type { LogFields } from '../../gateway/job';
 import type { PeerRecord } from '../../peers/peer';
-import { exchangeJson } from './exchangeJson';
+import { createConnectionPool } from './createConnectionPool';
 
 export interface RelayedStoreOptions {
   readonly store: WatchedStore;
@@ -50,7 +49,7 @@
 
 export function createRelayedStore(options: RelayedStoreOptions): WatchedStore {
   const { store, vm, relays, isFollowedByAllRelays, now, log } = options;
-  const agent = new Agent({ keepAlive: true, maxFreeSockets: 4 });
+  const { exchange } = createConnectionPool();
   const backOffUntilMs = new Map<string, number>();
   /** By table. */
   const followedVms = new Map<string, string | undefined>();
@@ -79,12 +78,11 @@
       since: String(since.version),
       wait: String(waitMs),
     });
-    const result = await exchangeJson({
+    const result = await exchange({
       address: relay.tableAddress,
       method: 'GET',
       path: `/tables?${query.toString()}`,
       timeoutMs: waitMs + ANSWER_MARGIN_MS,
-      agent,
     });
     if (result.type === 'refused') return { type: 'unavailable', detail: result.detail };
     if (result.type === 'silent') return { type: 'unavailable', detail: result.type };
