Keep entries that vanish only as long after an outage as they may take to come back

A VM whose connections fell silent took that for an outage of the store, and kept a server that had left meanwhile for 1.7 s more; the time counted from the moment the entry was missed, so a late list prolonged it. A timer dropped the entry, once: where it fired a fraction before the time that it compares with, the server was used until the list changed again.

The time now counts from the return of the store, an outage under 3 s keeps nothing (no entry expires in it), and each update sets the next timer.

--- a/src/adapters/gateway/followCatalog.test.ts
+++ b/src/adapters/gateway/followCatalog.test.ts
@@ -64,7 +64,7 @@
       failed: () => undefined,
       setBack: () => undefined,
       isReachable: () => true,
-      wasUnreachableRecently: () => false,
+      returnedMs: () => -Infinity,
     },
     waitMs: () => 2_500,
     limitMs: () => 4_250,
--- a/src/adapters/gateway/followServers.ts
+++ b/src/adapters/gateway/followServers.ts
@@ -27,7 +27,7 @@
   readonly log: (message: string, fields: LogFields) => void;
 }
 
-/** Time for which vanished entries are kept after the store was unreachable or set back. */
+/** Time after the store came back or was set back for which vanished entries are kept. */
 const RETAIN_VANISHED_MS = 1_700;
 
 /** Follows the table and keeps the server registry up to date. */
@@ -36,23 +36,29 @@
   const decodeServer = createRowCache(options.decodeServer);
   let tracked: TrackedServers = new Map();
 
-  const isUsed = ({ missing }: TrackedServer): boolean =>
-    missing === undefined || missing.keptUntilMs > now();
+  let timer: NodeJS.Timeout | undefined;
+
+  const keptMs = ({ missing }: TrackedServer): number =>
+    missing === undefined ? Infinity : missing.keptUntilMs - now();
   const updateServers = (): void => {
-    registry.list([...tracked.values()].filter(isUsed).map(({ server }) => server));
+    const used = [...tracked.values()].filter((server) => keptMs(server) > 0);
+    registry.list(used.map(({ server }) => server));
+    const nextMs = Math.min(...used.map(keptMs));
+    clearTimeout(timer);
+    // A timer may fire shortly before its time, so each update sets the next one.
+    if (nextMs < Infinity) timer = setTimeout(updateServers, Math.ceil(nextMs));
   };
   followTable({
     ...options,
     onRows: (rows, { era }) => {
       const before = tracked;
-      const keepMs = health.wasUnreachableRecently() ? RETAIN_VANISHED_MS : 0;
+      const keepMs = Math.max(0, health.returnedMs() + RETAIN_VANISHED_MS - now());
       const listed = [...rows.values()].flatMap((row) => decodeServer(row) ?? []);
       tracked = trackListing(before, { listed, era, nowMs: now(), keepMs });
       const vanished = [...tracked].filter(
         ([id, { missing }]) => missing !== undefined && before.get(id)?.missing === undefined,
       );
       for (const [server] of vanished) log('server unlisted', { server, isKept: keepMs > 0, era });
-      if (vanished.length > 0 && keepMs > 0) setTimeout(updateServers, keepMs);
       updateServers();
     },
     onAnswer: health.succeeded,
--- a/src/gateway/createStoreHealth.ts
+++ b/src/gateway/createStoreHealth.ts
@@ -5,8 +5,8 @@
 /** Time without an answer after which the store counts as unreachable. */
 const UNREACHABLE_AFTER_MS = 1_000;
 
-/** Time after an outage during which the store still counts as recently unreachable. */
-const RECENTLY_UNREACHABLE_MS = 2_000;
+/** Shortest outage after which entries that their owners renew may be missing. */
+const MIN_EXPIRING_OUTAGE_MS = 3_000;
 
 export interface StoreHealth {
   readonly succeeded: () => void;
@@ -15,8 +15,11 @@
   readonly setBack: () => void;
   /** Whether the store counts as reachable. */
   readonly isReachable: () => boolean;
-  /** Whether the store is unreachable, or was so or was set back shortly before. */
-  readonly wasUnreachableRecently: () => boolean;
+  /**
+   * Time of the first answer after an outage in which entries may have expired, or at which the store was set back,
+   * monotonic, milliseconds; negative infinity before the first of these.
+   */
+  readonly returnedMs: () => number;
 }
 
 /** Creates a tracker that counts the store as reachable at first. */
@@ -25,13 +28,14 @@
   log: (message: string, fields: LogFields) => void,
 ): StoreHealth {
   let lastSuccessMs = now();
-  let unreachableUntilMs = Number.NEGATIVE_INFINITY;
+  let returnedMs = Number.NEGATIVE_INFINITY;
   let isUnreachable = false;
   return {
     succeeded: () => {
       if (isUnreachable) {
-        unreachableUntilMs = now();
-        log('store answers again', {});
+        const outageMs = now() - lastSuccessMs;
+        if (outageMs >= MIN_EXPIRING_OUTAGE_MS) returnedMs = now();
+        log('store answers again', { outageMs: Math.round(outageMs) });
       }
       isUnreachable = false;
       lastSuccessMs = now();
@@ -42,10 +46,9 @@
       log('store does not answer', { detail, sinceMs: Math.round(now() - lastSuccessMs) });
     },
     setBack: () => {
-      unreachableUntilMs = now();
+      returnedMs = now();
     },
     isReachable: () => !isUnreachable,
-    wasUnreachableRecently: () =>
-      isUnreachable || now() - unreachableUntilMs < RECENTLY_UNREACHABLE_MS,
+    returnedMs: () => returnedMs,
   };
 }
--- a/src/node/followMembership.test.ts
+++ b/src/node/followMembership.test.ts
@@ -52,7 +52,7 @@
       failed: () => undefined,
       setBack: () => undefined,
       isReachable: () => true,
-      wasUnreachableRecently: () => false,
+      returnedMs: () => -Infinity,
     },
     log: () => undefined,
   });
