Poll the list of servers so that a silent connection is found before it matters

A poll of the list waits up to 4 s and counted as failed after 4.9 s, and each poll that was started while the store could not be reached took as long; then came a pause of up to 0.9 s. The catalog has polls of its own, so a VM was ready while its list was up to 10 s old.

After a failed call the next one asks without a wait, so it fails within 0.9 s and succeeds as soon as the store can be reached; a call without an answer is followed by the next at once. Waits last 1.8 s, so that a silent connection is found after 2.7 s at most. A relay that fails is followed by the same short call. An answer without a wait confirms the catalog only as of a second before: a store may withhold changes for that long (stricter than before, where a wait of 0.6 s confirmed it as of its start).

Ruled out: ending all waits when one call is silent, as connections may fall silent one by one.

--- a/src/adapters/gateway/createRelayedStore.test.ts
+++ b/src/adapters/gateway/createRelayedStore.test.ts
@@ -33,11 +33,13 @@
   await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
   const storeWatches: number[] = [];
+  const storeWaitsMs: number[] = [];
   const log: string[] = [];
   const store: WatchedStore = {
     read: () => Promise.resolve({ type: 'rows', rows: [], position: at(0) }),
-    watch: (_table, since) => {
+    watch: (_table, since, waitMs) => {
       storeWatches.push(since.version);
+      storeWaitsMs.push(waitMs);
       return Promise.resolve({ type: 'rows', rows: [], position: since });
     },
     write: () => Promise.resolve({ type: 'conflict', era: 0 }),
@@ -58,6 +60,7 @@
       relay.publish('t', { copy, known: reading, isOffered, maxAgeMs: 2_600 });
     },
     asked: storeWatches,
+    storeWaitsMs,
     relays,
     log,
     follow,
@@ -106,6 +109,13 @@
     expect(log).toContain('relay does not answer');
   });
 
+  it('does not wait for a change at the store after a relay has failed', async () => {
+    const { follow, storeWaitsMs } = await startRelay();
+    await follow('leaf').watch('t', at(7), 20);
+    await follow('leaf', []).watch('t', at(7), 20);
+    expect(storeWaitsMs).toEqual([0, 20]);
+  });
+
   it('queries the store if the relay itself follows another VM', async () => {
     const { publish, follow, asked: storeWatches } = await startRelay();
     publish(createTableCopy([], at(7)), false);
--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -106,7 +106,8 @@
       if (result.type !== 'unavailable') return result;
       backOffUntilMs.set(relay.vm, now() + RELAY_BACKOFF_MS);
       log('relay does not answer', { relay: relay.vm, table, detail: result.detail });
-      return store.watch(table, since, waitMs);
+      // What the relay did not report may be old, and this connection may be silent too.
+      return store.watch(table, since, 0);
     },
   };
 }
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -1,4 +1,8 @@
-/** Follows one table of the store: reads it once, then long-polls for changes for as long as the VM runs. */
+/**
+ * Follows one table of the store: reads it once, then long-polls for changes for as long as the VM runs. After a failed
+ * call the next one does not wait for a change, so that it fails soon, and the copy is current again soon after the store
+ * can be reached.
+ */
 
 import type { ClockReading } from '../../catalog/confirmation';
 import {
@@ -70,7 +74,7 @@
   };
   const fetchChanges = async (): Promise<number> => {
     const sent = clock();
-    const wantedMs = waitMs();
+    const wantedMs = failures > 0 ? 0 : waitMs();
     const isWait = copy !== undefined;
     const result =
       copy === undefined
@@ -79,7 +83,8 @@
     if (result.type === 'unavailable') {
       recordFailure(result.detail);
       backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
-      return backoffMs * (0.5 + options.random());
+      // A call without an answer has taken longer than the pause already.
+      return backoffMs * (0.5 + options.random()) - elapsedMs(sent, clock());
     }
     recordAnswer();
     backoffMs = FIRST_BACKOFF_MS;
--- a/src/catalog/catalog.test.ts
+++ b/src/catalog/catalog.test.ts
@@ -104,7 +104,7 @@
 
   it('counts the wait, less the time for which the store may withhold changes', () => {
     expect(computeConfirmedTime(sent, 2_500)).toEqual({ monotonicMs: 11_500, wallMs: 71_500 });
-    expect(computeConfirmedTime(sent, 600)).toEqual(sent);
+    expect(computeConfirmedTime(sent, 600)).toEqual({ monotonicMs: 9_600, wallMs: 69_600 });
   });
 
   it('ages during a suspension before the answer is read', () => {
--- a/src/catalog/confirmation.ts
+++ b/src/catalog/confirmation.ts
@@ -27,7 +27,7 @@
  * @returns the time until which there was no change
  */
 export function computeConfirmedTime(sent: ClockReading, waitMs: number): ClockReading {
-  const knownMs = Math.max(0, waitMs - WITHHELD_MS);
+  const knownMs = waitMs - WITHHELD_MS;
   return { monotonicMs: sent.monotonicMs + knownMs, wallMs: sent.wallMs + knownMs };
 }
 
--- a/src/peers/chooseLongPollTimings.ts
+++ b/src/peers/chooseLongPollTimings.ts
@@ -24,7 +24,7 @@
 
 const SMALL_FLEET_TIMINGS: LongPollTimings = {
   catalogWaitMs: 2_000,
-  serverWaitMs: 4_000,
+  serverWaitMs: 1_800,
   peerWaitMs: 8_000,
   settleMs: 120,
   peerSettleMs: 120,
