--- a/src/adapters/gateway/createPlacer.ts
+++ b/src/adapters/gateway/createPlacer.ts
@@ -165,7 +165,10 @@
     loadShare: registry.loadShare(server.id, model),
   });
   const placeModel = (service: string, model: PipelineModel): void => {
-    const servers = registry.servers(service).filter(({ isDraining }) => !isDraining);
+    // An entry with layers that the model does not have describes no engine of it.
+    const servers = registry
+      .servers(service)
+      .filter(({ isDraining, layers }) => !isDraining && (layers?.to ?? 0) <= model.layers);
     if (!isListStable(service, servers)) return;
     const suspicions = registry.suspicions();
     const suspects = new Set(suspicions.map(({ id }) => id));
--- a/src/adapters/gateway/followTable.ts
+++ b/src/adapters/gateway/followTable.ts
@@ -70,7 +70,13 @@
       copy === undefined
         ? createTableCopy(result.rows, result.position)
         : applyTableChanges(copy, result.rows, result.position);
-    if (isFirst || result.rows.length > 0) options.onRows(copy.rows, copy.position);
+    if (!isFirst && result.rows.length === 0) return;
+    try {
+      options.onRows(copy.rows, copy.position);
+    } catch (error) {
+      // A row that no decoder foresees must not end the process, nor keep it from later rows.
+      options.log('rows not applied', { table, error: String(error) });
+    }
   };
   const fetchChanges = async (): Promise<number> => {
     const sent = clock();
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -78,7 +78,7 @@
   const mayReceive = (server: ListedServer): boolean => limits.waitMs(server, 'request') === 0;
   const toChainEngine = (server: ListedServer, model: PipelineModel): ChainEngine | undefined => {
     const { id, address, failureDomain, layers, slots } = server;
-    if (layers === undefined) return undefined;
+    if (layers === undefined || layers.to > model.layers) return undefined;
     const kind = model.kinds.get(server.kind ?? '');
     const heldLayers = layers.to - layers.from;
     const requestMemoryMb = (kind?.memoryMb ?? 0) - heldLayers * model.layerMb;
--- a/src/node/followMembership.test.ts
+++ b/src/node/followMembership.test.ts
@@ -5,7 +5,11 @@
 import { followMembership } from './followMembership';
 
 const at = (version: number, era = 0): Position => ({ era, version });
-const self = createPeerRecord('a');
+const self = createPeerRecord('a', {
+  callerAddress: '10.0.0.1:80',
+  peerAddress: '10.0.0.1:70',
+  tableAddress: '10.0.0.1:71',
+});
 
 beforeEach(() => {
   jest.useFakeTimers();
