Take no refusal of another request for the refusal of this one

Reported by other operators: a faulty engine wrote an earlier refusal once more. Each request has a connection of its own here, so a second refusal on it is never read; but a refusal that names another request was taken for the own one.

Whose reply it is, is now told before what it says, in one place for calls and streams. Ruled out: a reply without an id, which may be the own one.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { ListedServer } from '../../chains/layerEngine';
 import type { ReplyHead } from '../../gateway/backendProtocol';
+import { isReplyTo } from '../../gateway/isReplyTo';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { isFramed } from './isFramed';
 import { openExchange } from './openExchange';
@@ -106,11 +107,12 @@
   const status = reply.statusCode ?? 0;
   const head = protocol.readReply(status, reply.headers);
   recordReplyNotices(host, { server: server.id, requestId: job.head.id, sentMs, head });
-  if (head.isNotRun) {
+  const isOwn = isReplyTo(head, job.head.id);
+  if (isOwn && head.isNotRun) {
     reply.destroy();
     return { type: 'not-run', detail: `status ${status}` };
   }
-  const fault = findReplyFault(head, job.head.id);
+  const fault = isOwn ? findReplyFault(head) : 'reply to another request';
   if (fault !== undefined) {
     reply.destroy();
     return { type: 'unknown', detail: fault, isLost: false };
@@ -127,9 +129,7 @@
 }
 
 /** Why a reply cannot be forwarded; undefined if it can. */
-function findReplyFault(head: ReplyHead, requestId: string): string | undefined {
-  if (head.requestId !== undefined && head.requestId !== requestId)
-    return 'reply to another request';
+function findReplyFault(head: ReplyHead): string | undefined {
   if (!head.isSealed) return 'reply without signature';
   if (!head.isUnencoded) return 'reply with an encoding';
   return undefined;
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -7,6 +7,7 @@
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { createChainRepair } from './createChainRepair';
 import { createStreamMove } from './createStreamMove';
+import { isReplyTo } from '../../gateway/isReplyTo';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { evaluateSilence } from '../../gateway/evaluateSilence';
 import { isFramed } from './isFramed';
@@ -159,19 +160,21 @@
       sentMs: startedMs,
       head,
     });
-    if (head.isNotRun) {
+    const isOwn = isReplyTo(head, job.head.id);
+    if (isOwn && head.isNotRun) {
       reply.destroy();
       endAttempt({ type: 'not-run', fault: head.faultAddress, detail: `status ${status}` });
       return;
     }
-    const isForeign = head.requestId !== undefined && head.requestId !== job.head.id;
-    if (isForeign || !head.isSealed || !head.isUnencoded) {
+    const isSuccess = status >= 200 && status < 300;
+    const isUsable = isOwn && head.isSealed && head.isUnencoded;
+    if (!isUsable) {
       reply.destroy();
       endAttempt({ type: 'broken', detail: 'reply without own signature' });
       return;
     }
     if (head.isLeaving) registry.recordLeaving(entry.id);
-    if (status >= 200 && status < 300) {
+    if (isSuccess) {
       if (!job.response.headersSent) {
         options.onSpeak();
         writeStreamHead(job.response, protocol, status, reply.headers);
