Let only the rest of a stream follow in a stream that has begun

Reported by other operators: a stream broke off, and the next engine answered with an error. A reply now continues a stream only with the status and the media type with which the stream began; otherwise the attempt counts as broken, also where another VM serves the rest.

--- a/src/adapters/gateway/forwardStream.ts
+++ b/src/adapters/gateway/forwardStream.ts
@@ -5,6 +5,7 @@
 import { isNewer, recordEvent } from '../../gateway/streamProgress';
 import type { StreamProgress } from '../../gateway/streamProgress';
 import type { AttemptOutcome } from './attemptOutcome';
+import { continuesStream } from './continuesStream';
 import type { PeerRequest } from './openPeerExchange';
 import { openPeerExchange, readPeerReply } from './openPeerExchange';
 import { readStreamEvents } from './readStreamEvents';
@@ -41,6 +42,10 @@
         void readPeerReply(host, reply).then(end);
         return;
       }
+      if (!continuesStream(job.response, status, reply.headers)) {
+        end({ type: 'broken', detail: 'not the rest of the stream' });
+        return;
+      }
       writeStreamHead(job.response, host.protocol, status, reply.headers);
       readStreamEvents(reply, {
         isOver: () => isOver,
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { PipelineModel } from '../../chains/pipelineModel';
 import { createChainRepair } from './createChainRepair';
+import { continuesStream } from './continuesStream';
 import { createStreamMove } from './createStreamMove';
 import { isReplyTo } from '../../gateway/isReplyTo';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -168,9 +169,10 @@
     }
     const isSuccess = status >= 200 && status < 300;
     const isUsable = isOwn && head.isSealed && head.isUnencoded;
-    if (!isUsable) {
+    if (!isUsable || (isSuccess && !continuesStream(job.response, status, reply.headers))) {
       reply.destroy();
-      endAttempt({ type: 'broken', detail: 'reply without own signature' });
+      const detail = isUsable ? 'not the rest of the stream' : 'reply without own signature';
+      endAttempt({ type: 'broken', detail });
       return;
     }
     if (head.isLeaving) registry.recordLeaving(entry.id);
--- a/src/adapters/gateway/writeStreamHead.ts
+++ b/src/adapters/gateway/writeStreamHead.ts
@@ -11,8 +11,9 @@
   headers: IncomingHttpHeaders,
 ): void {
   if (response.headersSent) return;
-  const forwarded = Object.entries(protocol.replyHeaders(headers));
-  const unframed = forwarded.filter(([name]) => name !== 'content-length');
-  response.writeHead(status, Object.fromEntries(unframed));
+  response.statusCode = status;
+  for (const [name, value] of Object.entries(protocol.replyHeaders(headers))) {
+    if (name !== 'content-length' && value !== undefined) response.setHeader(name, value);
+  }
   response.flushHeaders();
 }
