--- a/src/adapters/gateway/openExchange.ts
+++ b/src/adapters/gateway/openExchange.ts
@@ -61,7 +61,11 @@
     port: Number(port),
     method: request.method,
     path: request.path,
-    headers: request.headers,
+    // Node.js frames no body by itself for methods that usually have none.
+    headers:
+      request.body === undefined
+        ? request.headers
+        : { ...request.headers, 'content-length': request.body.length },
   });
   const fail = (detail: string, { isOversized = false, isRefused = false } = {}): void => {
     if (isOver) return;
