Let a VM that starts wait for the catalog that the others have in force

Only a running VM was guarded, by the version that it holds.

Where the store has lost something before (its era is above 0), a VM that starts now waits 2 s to hear of the versions in force, and until the store holds the newest of them. The others tell it when they hear it first, in datagrams of a new name, which the version in production drops. Where the store has lost nothing, nothing is sent and nobody waits. Ruled out: the version in heartbeats, whose format production would not read.

--- a/src/adapters/gateway/followCatalog.test.ts
+++ b/src/adapters/gateway/followCatalog.test.ts
@@ -2,6 +2,7 @@
 import type { ClockReading } from '../../catalog/confirmation';
 import type { Position } from '../../contracts/position';
 import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
+import { createStartCheck } from '../../gateway/createStartCheck';
 import { followCatalog } from './followCatalog';
 
 /** Creates a store whose long polls the test ends. */
@@ -50,11 +51,14 @@
   jest.useRealTimers();
 });
 
-async function follow() {
+async function follow(first?: TableRead) {
   const { store, waits, setTable } = createHeldStore();
+  if (first !== undefined) setTable(first);
   const events: string[] = [];
   let reading: ClockReading = { monotonicMs: 0, wallMs: 1_000_000 };
+  const startCheck = createStartCheck(() => reading.monotonicMs);
   const catalog = followCatalog({
+    startCheck,
     store,
     table: 'op',
     decodeCatalog: (rows) => createCatalog(Number(rows.get('config')?.value)),
@@ -75,6 +79,7 @@
   await advanceTimers();
   return {
     catalog,
+    startCheck,
     waits,
     setTable,
     events,
@@ -124,4 +129,18 @@
     await advanceTimers();
     expect(catalog.isConfirmed()).toBe(false);
   });
+
+  it('does not confirm an older catalog to a VM that starts after the store came back', async () => {
+    const { catalog, startCheck, waits, advance } = await follow({
+      type: 'rows',
+      rows: [createRow(2, at(2, 1))],
+      position: at(2, 1),
+    });
+    startCheck.recordReported(4);
+    advance(2_500);
+    expect([catalog.era(), catalog.isConfirmed()]).toEqual([1, false]);
+    waits[0]?.end({ type: 'rows', rows: [createRow(4, at(4, 1))], position: at(4, 1) });
+    await advanceTimers();
+    expect(catalog.isConfirmed()).toBe(true);
+  });
 });
--- a/src/adapters/gateway/followCatalog.ts
+++ b/src/adapters/gateway/followCatalog.ts
@@ -5,6 +5,7 @@
 import { elapsedMs } from '../../catalog/confirmation';
 import { chooseConfirmationWait } from '../../catalog/chooseConfirmationWait';
 import type { StoreRow } from '../../contracts/watchedStore';
+import type { StartCheck } from '../../gateway/createStartCheck';
 import type { StoreHealth } from '../../gateway/createStoreHealth';
 import type { LogFields } from '../../gateway/job';
 import { followTable } from './followTable';
@@ -15,6 +16,8 @@
   readonly current: () => Catalog | undefined;
   /** Whether the catalog was confirmed as current within the limit. */
   readonly isConfirmed: () => boolean;
+  /** Era of the store in which its table was read last; 0 before. */
+  readonly era: () => number;
 }
 
 export interface FollowCatalogOptions extends Pick<
@@ -27,6 +30,7 @@
   readonly health: StoreHealth;
   /** Age of the last confirmation beyond which the catalog may be outdated, milliseconds. */
   readonly limitMs: () => number;
+  readonly startCheck: Pick<StartCheck, 'recordRead' | 'isPassed'>;
   readonly log: (message: string, fields: LogFields) => void;
 }
 
@@ -38,6 +42,7 @@
   let catalog: Catalog | undefined;
   let confirmedAt: ClockReading | undefined;
   let outdatedEra: number | undefined;
+  let lastEra = 0;
 
   const decode = (rows: ReadonlyMap<string, StoreRow>): Catalog | undefined => {
     try {
@@ -59,6 +64,7 @@
       }),
     batchDelayMs: () => BATCH_DELAY_MS,
     onRows: (rows, { era }) => {
+      lastEra = era;
       const next = decode(rows);
       if (next === undefined) return;
       if (catalog !== undefined && next.version < catalog.version) {
@@ -71,6 +77,7 @@
         return;
       }
       catalog = next;
+      options.startCheck.recordRead({ version: next.version, era });
       onCatalog(next);
       log('catalog in force', { version: next.version, hosts: next.routes.size });
     },
@@ -82,6 +89,7 @@
   });
   return {
     current: () => catalog,
-    isConfirmed: () => ageMs() < limitMs(),
+    isConfirmed: () => ageMs() < limitMs() && options.startCheck.isPassed(),
+    era: () => lastEra,
   };
 }
--- a/src/adapters/gateway/shareReports.ts
+++ b/src/adapters/gateway/shareReports.ts
@@ -1,9 +1,11 @@
-/** Exchanges with the other VMs what this VM has seen of backend servers, beside the heartbeats. */
+/** Exchanges with the other VMs what this VM knows of backend servers and of the catalog, beside the heartbeats. */
 
 import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
 import type { PartitionDetector } from '../../gateway/createPartitionDetector';
 import type { RequestLimits } from '../../gateway/createRequestLimits';
 import type { PeerGroup } from './createPeerGroup';
+import { shareCatalogVersion } from './shareCatalogVersion';
+import type { CatalogVersionSharingOptions } from './shareCatalogVersion';
 import { shareContentSuspicions } from './shareContentSuspicions';
 import { sharePartitions } from './sharePartitions';
 import { shareRequestLimits } from './shareRequestLimits';
@@ -24,7 +26,10 @@
   readonly partition: PartitionDetector;
 }
 
-export interface ReportSharingOptions {
+export interface ReportSharingOptions extends Pick<
+  CatalogVersionSharingOptions,
+  'catalog' | 'startCheck'
+> {
   /** Name of this VM. */
   readonly vm: string;
   readonly peers: Pick<PeerGroup, 'broadcast'>;
@@ -35,20 +40,27 @@
 /** Starts the exchange. */
 export function shareReports(
   { contentSuspicions, limits, partition }: SharedState,
-  { vm, peers, now }: ReportSharingOptions,
+  options: ReportSharingOptions,
 ): ReportSharing {
+  const { vm, peers, now } = options;
   const contents = shareContentSuspicions(contentSuspicions, peers);
   const sharedLimits = shareRequestLimits(limits, peers);
   const partitions = sharePartitions({ vm, partition, broadcast: peers.broadcast, now });
+  const catalogVersions = shareCatalogVersion({ ...options, broadcast: peers.broadcast });
   return {
     receive: (datagram) => {
+      catalogVersions.receive(datagram);
       contents.receive(datagram);
       sharedLimits.receive(datagram);
       partitions.receive(datagram);
     },
-    greet: sharedLimits.sendSoon,
+    greet: () => {
+      sharedLimits.sendSoon();
+      catalogVersions.sendSoon();
+    },
     isPartitioned: partitions.isPartitioned,
     close: () => {
+      catalogVersions.close();
       contents.close();
       sharedLimits.close();
       partitions.close();
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -4,7 +4,6 @@
  * backend servers.
  */
 
-import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
@@ -18,6 +17,7 @@
 import { checkReportedServers } from '../gateway/checkReportedServers';
 import { createLagMonitor, LAG_INTERVAL_MS } from '../gateway/createLagMonitor';
 import { createLoadShedding } from '../gateway/createLoadShedding';
+import { createStartCheck } from '../gateway/createStartCheck';
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createRetryBudgets } from '../gateway/createRetryBudgets';
 import type { GatewayHost, LogFields } from '../gateway/job';
@@ -29,6 +29,7 @@
 import { applyCallerLimits } from './applyCallerLimits';
 import { createBackendView } from './createBackendView';
 import { createGatewayMetrics } from './createGatewayMetrics';
+import { createOwnRecord } from './createOwnRecord';
 import { createFollowContext } from './createFollowContext';
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
@@ -73,9 +74,6 @@
 /** Part of the grace period that a drain leaves unused before the process is killed, milliseconds. */
 const GRACE_MARGIN_MS = 300;
 
-/** Length of an incarnation's id: short, as every heartbeat contains it, but different for each incarnation of a VM. */
-const INCARNATION_CHARS = 8;
-
 const MS_PER_SECOND = 1_000;
 
 /** Starts the gateway's listeners and follows the store. */
@@ -107,15 +105,7 @@
     count,
   });
   const { registry } = backend;
-  const self: PeerRecord = {
-    vm: settings.vm.name,
-    incarnation: randomUUID().slice(0, INCARNATION_CHARS),
-    callerAddress: settings.listen.callers,
-    peerAddress: settings.listen.peers,
-    tableAddress: settings.listen.tables,
-    failureDomain: settings.vm.failure_domain,
-    cores: settings.vm.cores,
-  };
+  const self = createOwnRecord(settings);
   const startedAtMs = now();
   writeLog('started', { incarnation: self.incarnation, pid: process.pid });
 
@@ -136,6 +126,7 @@
     log: writeLog,
     count,
   });
+  const startCheck = createStartCheck(now);
   const catalogFollower = followCatalog({
     ...followContext.optionsFor(platform.catalogTable, () => timings().catalogWaitMs),
     decodeCatalog: platform.decodeCatalog,
@@ -143,6 +134,7 @@
       applyCallerLimits(callerServer, catalog);
     },
     limitMs: () => settings.credentials.revoke_ms * MAX_UNCONFIRMED_SHARE,
+    startCheck,
   });
   const shedding = createLoadShedding({
     lag,
@@ -179,7 +171,13 @@
   // Streams of other VMs use the same engine. The announcement reaches those VMs before they can detect
   // a pause of their own streams.
   registry.onSuspected(peers.announceSoon);
-  const sharing = shareReports(backend, { vm: self.vm, peers, now });
+  const sharing = shareReports(backend, {
+    vm: self.vm,
+    peers,
+    catalog: catalogFollower,
+    startCheck,
+    now,
+  });
   /** VMs that accept callers and may reach the backend servers. */
   const listReachingPeers = (): readonly PeerRecord[] =>
     peers.live().filter(({ vm }) => !sharing.isPartitioned(vm));
