Clear a request of crashes only by a run that lasted longer than those before them

A run counted as harmless after 0.5 s and eight events, so its later loss was not counted, and each run cleared the crashes before it.

A whole request is now cleared by a complete run, or one that lasted clearly longer than the run before the crash; of crashes that other VMs report only by a complete one, as reports do not say how long it ran. Parts of prompts, which many requests hold, are cleared as before: refusing one costs all of these. Ruled out: complete runs only, as a long sound stream that lost servers early would stay suspect until its end.

Open: a part that ends engines late.

--- a/src/adapters/gateway/createContentKeeper.ts
+++ b/src/adapters/gateway/createContentKeeper.ts
@@ -6,7 +6,7 @@
 import { decodeContentRow, encodeContentRow } from '../../crashes/contentRowCodec';
 import type { ContentReport } from '../../crashes/contentTally';
 import type { StoreRow, WatchedStore } from '../../contracts/watchedStore';
-import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
+import type { ContentSuspicions } from '../../gateway/contentSuspicions';
 import type { LogFields } from '../../gateway/job';
 
 export interface ContentKeeper {
--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ListedServer, Stage } from '../../chains/layerEngine';
+import { crashLimitOf } from '../../crashes/crashLimitOf';
 import { createHarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { HarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -120,9 +121,12 @@
     }
     runServers.add(entry);
     if (outcome.type !== 'broken') return;
-    const isSuspicious = outcome.isLost === true && !detector.isHarmless();
-    if (isSuspicious && incarnation !== undefined) {
-      host.contentSuspicions.recordLoss(incarnation, job.contents);
+    if (outcome.isLost === true && incarnation !== undefined) {
+      // A part of many prompts has shown by now that it does no harm; the whole request only by its end.
+      const contents = detector.isHarmless()
+        ? job.contents.filter((content) => crashLimitOf(content).isWholeRequest)
+        : job.contents;
+      host.contentSuspicions.recordLoss(incarnation, contents, detector.ranMs());
     }
     void host.probes.ask(entry, 'lost_run');
     if (rule.isResumable) host.registry.backOff(entry, ENGINE_BACKOFF_MS);
@@ -146,7 +150,7 @@
       onProgress: (next) => {
         progress = next;
         const isNews = detector.recordEvents(next.events - eventsBefore);
-        if (isNews) host.contentSuspicions.recordHarmlessRun(job.contents);
+        if (isNews) host.contentSuspicions.recordHarmlessRun(job.contents, detector.ranMs());
       },
       onSpeak: () => {
         predecessor?.end(SUPERSEDED);
--- a/src/adapters/gateway/shareContentSuspicions.test.ts
+++ b/src/adapters/gateway/shareContentSuspicions.test.ts
@@ -1,7 +1,7 @@
 import { createListedServer } from '../../chains/testEngine';
 import type { ListedServer } from '../../chains/layerEngine';
 import { createContentSuspicions } from '../../gateway/createContentSuspicions';
-import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
+import type { ContentSuspicions } from '../../gateway/contentSuspicions';
 import { createFirstEventDelays } from '../../gateway/createFirstEventDelays';
 import { createServerRegistry } from '../../gateway/createServerRegistry';
 import { createPeerRecord } from '../../peers/testPeer';
--- a/src/adapters/gateway/shareContentSuspicions.ts
+++ b/src/adapters/gateway/shareContentSuspicions.ts
@@ -1,6 +1,6 @@
 /** Sends this VM's reports of contents to the other VMs, and joins theirs. */
 
-import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
+import type { ContentSuspicions } from '../../gateway/contentSuspicions';
 import {
   decodeContentReports,
   encodeContentReports,
--- a/src/adapters/gateway/shareReports.ts
+++ b/src/adapters/gateway/shareReports.ts
@@ -1,6 +1,6 @@
 /** Exchanges with the other VMs what this VM knows of backend servers and of the catalog, beside the heartbeats. */
 
-import type { ContentSuspicions } from '../../gateway/createContentSuspicions';
+import type { ContentSuspicions } from '../../gateway/contentSuspicions';
 import type { PartitionDetector } from '../../gateway/createPartitionDetector';
 import type { RequestLimits } from '../../gateway/createRequestLimits';
 import type { PeerGroup } from './createPeerGroup';
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -29,6 +29,12 @@
     recordHarmlessRun: (content: string) => {
       suspicions.recordHarmlessRun([`request:${content}`]);
     },
+    recordHarmlessRunFor: (content: string, ranMs: number) => {
+      suspicions.recordHarmlessRun([`request:${content}`], ranMs);
+    },
+    recordLossAfter: (server: ListedServer, content: string, ranMs: number) => {
+      suspicions.recordLoss(server, [`request:${content}`], ranMs);
+    },
     recordLoss: (server: ListedServer, content: string) => {
       suspicions.recordLoss(server, [`request:${content}`]);
     },
@@ -113,6 +119,18 @@
     expect(vm.heldMs('sound')).toBe(0);
   });
 
+  it('is not misled by runs that last no longer than those before the crashes', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) {
+      vm.recordHarmlessRunFor('bad', 500);
+      vm.recordLossAfter(server, 'bad', 1_000);
+      vm.end(server);
+    }
+    expect(vm.heldMs('bad')).toBeGreaterThan(0);
+    vm.recordHarmlessRunFor('bad', 2_000);
+    expect(vm.heldMs('bad')).toBe(0);
+  });
+
   it('does not suspect a content that has just run without harm', () => {
     const vm = createVm();
     vm.recordHarmlessRun('sound');
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -2,7 +2,8 @@
  * Keeps which contents may be the cause of crashes, from this VM's own runs and from the other VMs' reports,
  * and says which requests are refused. A run counts against its contents if its connection was lost before it
  * had shown that they do no harm, and its server has ended. A content that runs without a crash is cleared of
- * those before: one that ends servers ends each server that begins to run it.
+ * those before: one that ends servers ends each server that begins to run it. It may do so some time after the begin,
+ * so a whole request is cleared only by a run that is complete or has lasted clearly longer.
  */
 
 import { Map as ImmutableMap } from 'immutable';
@@ -11,43 +12,17 @@
 import { choosePrimeSuspect } from '../crashes/choosePrimeSuspect';
 import { crashLimitOf } from '../crashes/crashLimitOf';
 import type { ContentReport, ContentTally } from '../crashes/contentTally';
+import type { ContentSuspicions, ServerIncarnation } from './contentSuspicions';
 import type { Culprits } from '../crashes/findCulprits';
 import { findCulprits } from '../crashes/findCulprits';
 import { joinContentTally } from '../crashes/joinContentTally';
 import { listOpenCrashes } from '../crashes/listOpenCrashes';
 import { pruneCrashTallies } from '../crashes/pruneCrashTallies';
 import { createContentArrivals } from './createContentArrivals';
+import { createHarmlessRuns } from './createHarmlessRuns';
 import type { ServerRegistry } from './serverRegistry';
 import type { LogFields } from './job';
 
-/** An incarnation of a backend server. */
-export interface ServerIncarnation {
-  readonly id: string;
-  /** Start, Unix milliseconds. */
-  readonly bornMs: number;
-}
-
-export interface ContentSuspicions {
-  /** Records a request that has arrived, whether or not it is refused. */
-  readonly recordArrival: (contents: readonly string[]) => void;
-  /** Time for which a request with these contents is refused, milliseconds; 0 if it may run. */
-  readonly heldMs: (contents: readonly string[]) => number;
-  /** Whether such a request is refused, or runs on trial and should be sent to one server only. */
-  readonly isSuspect: (contents: readonly string[]) => boolean;
-  /** Records a run whose connection the server lost. */
-  readonly recordLoss: (server: ServerIncarnation, contents: readonly string[]) => void;
-  /** Records that a request with these contents has run without ending its server. */
-  readonly recordHarmlessRun: (contents: readonly string[]) => void;
-  /** Joins what another VM reports. */
-  readonly merge: (reports: readonly ContentReport[]) => void;
-  /** Takes the reports that are due to be sent: new ones first, most crashes first; others once in a while. */
-  readonly takeReports: (limit: number) => readonly ContentReport[];
-  /** Reports of the contents that are refused or run on trial, in the order of the contents. */
-  readonly listRefused: () => readonly ContentReport[];
-  /** Called when there is something new to report. */
-  readonly onNews: (listener: () => void) => void;
-}
-
 export interface ContentSuspicionsOptions {
   /** Tells of servers that have ended, and of those that answer all the same. */
   readonly registry: Pick<ServerRegistry, 'onEnded' | 'onAnswer'>;
@@ -60,9 +35,6 @@
 /** Time within which a loss and the end of its server belong together, milliseconds. */
 const LOSS_VALID_MS = 3_000;
 
-/** Time for which a harmless run clears its content of crashes that are learned of later, milliseconds. */
-const HARMLESS_VALID_MS = 2_000;
-
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
@@ -83,7 +55,6 @@
 
 const MAX_CONTENTS = 1_000;
 const CONTENTS_DROPPED_AT_ONCE = 100;
-const MAX_HARMLESS_CONTENTS = 4_096;
 const MAX_LOSSES = 1_000;
 
 interface HeldGroup extends Culprits {
@@ -95,6 +66,7 @@
   readonly server: string;
   readonly contents: readonly string[];
   readonly atMs: number;
+  readonly ranMs: number;
 }
 
 /** Creates a record without contents. */
@@ -106,7 +78,7 @@
   let areCulpritsKnown = true;
   let losses: readonly Loss[] = [];
   const endedMs = new LRUCache<string, number>({ max: MAX_LOSSES });
-  const harmlessMs = new LRUCache<string, number>({ max: MAX_HARMLESS_CONTENTS });
+  const harmlessRuns = createHarmlessRuns(now);
   const arrivals = createContentArrivals(now);
   const reportedMs = new Map<string, number>();
   const listeners: (() => void)[] = [];
@@ -181,23 +153,27 @@
       store(content, { ...tally, disproved: [...disproved] });
     }
   };
-  /** A content that has run without harm just now did not cause the crashes reported of it. */
   const disproveIfHarmless = (content: string): void => {
     const tally = tallies.get(content);
-    if (tally === undefined || !isRecent(harmlessMs.get(content), HARMLESS_VALID_MS)) return;
-    disprove(content, listOpenCrashes(tally));
+    if (tally === undefined) return;
+    const open = listOpenCrashes(tally);
+    disprove(
+      content,
+      open.filter((server) => harmlessRuns.disproves(content, server)),
+    );
   };
-  const attribute = (server: string, content: string): void => {
-    if (isRecent(harmlessMs.get(content), HARMLESS_VALID_MS)) return;
+  const attribute = (server: string, content: string, ranMs: number): void => {
+    harmlessRuns.recordCrash(content, server, ranMs);
+    if (harmlessRuns.disproves(content, server)) return;
     const known = tallies.get(content);
     const tally = addCrash(known, server, now(), { validMs: TALLY_VALID_MS });
     if (tally === known) return;
     const disproved = tally.crashes === 1 ? [] : (known?.disproved ?? []);
     store(content, { ...tally, disproved });
   };
-  const attributeAll = (server: string, contents: readonly string[]): void => {
-    log('content suspected', { contents: contents.join(' '), server });
-    for (const content of contents) attribute(server, content);
+  const attributeAll = ({ server, contents, ranMs }: Omit<Loss, 'atMs'>): void => {
+    log('content suspected', { contents: contents.join(' '), server, ranMs: Math.round(ranMs) });
+    for (const content of contents) attribute(server, content, ranMs);
   };
   const createReport = (content: string, tally: ContentTally): ContentReport => ({
     content,
@@ -224,9 +200,7 @@
     endedMs.set(server, now());
     const own = losses.filter((loss) => loss.server === server);
     losses = losses.filter((loss) => loss.server !== server);
-    for (const { contents, atMs } of own) {
-      if (isRecent(atMs, LOSS_VALID_MS)) attributeAll(server, contents);
-    }
+    for (const loss of own) if (isRecent(loss.atMs, LOSS_VALID_MS)) attributeAll(loss);
     if (own.length > 0) updateCulprits();
   });
   registry.onAnswer((incarnation) => {
@@ -243,18 +217,18 @@
     heldMs: (contents) =>
       Math.max(0, ...culprits.map((group) => getHeldUntilMs(group, contents) - now())),
     isSuspect: (contents) => culprits.some((group) => isInGroup(group, contents)),
-    recordLoss: (incarnation, contents) => {
+    recordLoss: (incarnation, contents, ranMs = 0) => {
       const server = formatIncarnation(incarnation);
       if (isRecent(endedMs.get(server), LOSS_VALID_MS)) {
-        attributeAll(server, contents);
+        attributeAll({ server, contents, ranMs });
         updateCulprits();
       } else {
         const recent = losses.filter(({ atMs }) => isRecent(atMs, LOSS_VALID_MS));
-        losses = [...recent.slice(1 - MAX_LOSSES), { server, contents, atMs: now() }];
+        losses = [...recent.slice(1 - MAX_LOSSES), { server, contents, ranMs, atMs: now() }];
       }
     },
-    recordHarmlessRun: (contents) => {
-      for (const content of contents) harmlessMs.set(content, now());
+    recordHarmlessRun: (contents, ranMs = Number.POSITIVE_INFINITY) => {
+      harmlessRuns.record(contents, ranMs);
       if (!contents.some((content) => tallies.has(content))) return;
       for (const content of contents) disproveIfHarmless(content);
       updateCulprits();
--- a/src/gateway/createHarmlessRunDetector.ts
+++ b/src/gateway/createHarmlessRunDetector.ts
@@ -1,6 +1,6 @@
 /**
- * Tells when a stream shows that its content does not end the server that runs it. A harmful content does so
- * soon after the first event, and events that arrive together may have waited on the way.
+ * Tells when a stream shows that its content does not end the server that runs it soon, and for how long it has run.
+ * Events that arrive together may have waited on the way.
  */
 
 export interface HarmlessRunDetector {
@@ -11,6 +11,8 @@
   readonly recordEvents: (events: number) => boolean;
   /** Whether the run is known to be harmless. */
   readonly isHarmless: () => boolean;
+  /** Time from the first event until now, milliseconds; 0 before. */
+  readonly ranMs: () => number;
 }
 
 /** Time from the first event, and events, after which the server counts as unharmed. */
@@ -35,5 +37,6 @@
       return true;
     },
     isHarmless: () => toldMs !== undefined,
+    ranMs: () => (firstEventMs === undefined ? 0 : now() - firstEventMs),
   };
 }
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -4,7 +4,7 @@
 import type { RouteRule, ServiceProfile } from '../catalog/catalog';
 import type { PeerRecord } from '../peers/peer';
 import type { BackendProtocol, RequestHead } from './backendProtocol';
-import type { ContentSuspicions } from './createContentSuspicions';
+import type { ContentSuspicions } from './contentSuspicions';
 import type { ServerRegistry } from './serverRegistry';
 import type { RetryBudgets } from './createRetryBudgets';
 import type { PartitionDetector } from './createPartitionDetector';
