Keep contents that one more crash has refused beyond the end of all VMs

Only contents that are refused were kept in the store. Those that lack one crash are now kept too, after the refused ones, so that the next crash after a restart has them refused. The row's format is unchanged, and the version in production reads it.

--- a/src/adapters/gateway/createContentKeeper.test.ts
+++ b/src/adapters/gateway/createContentKeeper.test.ts
@@ -33,7 +33,7 @@
     table: 'own',
     key: 'contents',
     suspicions: {
-      listRefused: () => state.refused,
+      listKept: () => state.refused,
       merge: (reports) => merged.push(...reports),
     },
     now: () => state.nowMs,
--- a/src/adapters/gateway/createContentKeeper.ts
+++ b/src/adapters/gateway/createContentKeeper.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the contents that are refused in a row of the store, for VMs that start while no other VM lives. The
+ * Keeps the contents that are refused, or nearly, in a row of the store, for VMs that start while no other VM lives. The
  * executor writes the row, only when it differs from what is refused; all VMs read it with the rows of the VMs.
  */
 
@@ -20,7 +20,7 @@
   readonly store: Pick<WatchedStore, 'write'>;
   readonly table: string;
   readonly key: string;
-  readonly suspicions: Pick<ContentSuspicions, 'listRefused' | 'merge'>;
+  readonly suspicions: Pick<ContentSuspicions, 'listKept' | 'merge'>;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   readonly log: (message: string, fields: LogFields) => void;
@@ -47,7 +47,7 @@
   return {
     tick: () => {
       if (!isReadable || now() - writtenAtMs < WRITE_INTERVAL_MS) return;
-      const reports = suspicions.listRefused();
+      const reports = suspicions.listKept();
       const known = stored === '' ? [] : (decodeContentRow(stored ?? '') ?? []);
       if (describeReports(reports) !== describeReports(known)) void write(reports);
     },
--- a/src/gateway/contentSuspicions.ts
+++ b/src/gateway/contentSuspicions.ts
@@ -36,8 +36,11 @@
   readonly merge: (reports: readonly ContentReport[]) => void;
   /** Takes the reports that are due to be sent: new ones first, most crashes first; others once in a while. */
   readonly takeReports: (limit: number) => readonly ContentReport[];
-  /** Reports of the contents that are refused or run on trial, in the order of the contents. */
-  readonly listRefused: () => readonly ContentReport[];
+  /**
+   * Reports of the contents that must outlast the VMs: those that are refused or run on trial, then those that one more
+   * crash has refused.
+   */
+  readonly listKept: () => readonly ContentReport[];
   /** Called when there is something new to report. */
   readonly onNews: (listener: () => void) => void;
 }
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -119,6 +119,21 @@
     expect(vm.heldMs('sound')).toBe(0);
   });
 
+  it('lists what must outlast the VMs: what is refused, and what one more crash has refused', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'refused');
+    for (const server of servers.slice(3)) vm.crash(server, 'near');
+    vm.crashAll(createListedServer('f', { bornMs: 1 }), ['request:once', 'part:once']);
+    expect(vm.listKept().map(({ content }) => content)).toEqual([
+      'request:refused',
+      'request:near',
+    ]);
+    const next = createVm();
+    next.merge(vm.listKept());
+    next.crash(createListedServer('g', { bornMs: 1 }), 'near');
+    expect(next.heldMs('near')).toBeGreaterThan(0);
+  });
+
   it('is not misled by runs that last no longer than those before the crashes', () => {
     const vm = createVm();
     for (const server of [a, b, c]) {
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -254,10 +254,14 @@
       for (const [content] of due) reportedMs.set(content, now());
       return due.map(([content, tally]) => createReport(content, tally));
     },
-    listRefused: () => {
+    listKept: () => {
       updateCulprits();
-      const refused = new Set(culprits.flatMap(({ contents }) => contents));
-      return [...refused].toSorted().flatMap((content) => {
+      const refused = new Set(culprits.flatMap(({ contents }) => contents).toSorted());
+      const isNextRefused = ([content, tally]: readonly [string, ContentTally]): boolean =>
+        !refused.has(content) &&
+        listOpenCrashes(tally).length >= crashLimitOf(content).maxCrashes - 1;
+      const next = [...tallies].filter(isNextRefused).map(([content]) => content);
+      return [...refused, ...next.toSorted()].flatMap((content) => {
         const tally = tallies.get(content);
         return tally === undefined ? [] : [createReport(content, tally)];
       });
