Split events with either line end, and compare their ids exactly

Left by the review as no case: ids above 2^53 were compared as floating-point numbers, so 1 event of 40 arrived and the stream ended as complete; events that end in CRLF were never split, so such a stream broke off. Whole ids are now compared as integers; an event ends at an empty line with either line end, at any cut between pieces. The new cases of both tests failed before by their nature: the ids above were equal as numbers, and no CRLF event had an end.

--- a/src/gateway/createEventSplitter.test.ts
+++ b/src/gateway/createEventSplitter.test.ts
@@ -23,16 +23,19 @@
     expect(splitter.hasRest()).toBe(false);
   });
 
-  it('finds the end of an event at any cut', () => {
-    const bytes = Buffer.from('id: 1\n\nid: 2\n\nid');
-    for (let cut = 0; cut <= bytes.length; cut += 1) {
-      const splitter = createEventSplitter();
-      const pieces = [bytes.subarray(0, cut), bytes.subarray(cut)];
-      const events = pieces.flatMap((piece) => splitter.split(piece).events);
-      expect(events.map(({ id }) => id)).toEqual(['1', '2']);
-      expect(splitter.hasRest()).toBe(true);
-    }
-  });
+  it.each(['id: 1\n\nid: 2\n\nid', 'id: 1\r\n\r\nid: 2\r\n\r\nid', 'id: 1\r\n\nid: 2\n\r\nid'])(
+    'finds the end of an event at any cut: %j',
+    (text) => {
+      const bytes = Buffer.from(text);
+      for (let cut = 0; cut <= bytes.length; cut += 1) {
+        const splitter = createEventSplitter();
+        const pieces = [bytes.subarray(0, cut), bytes.subarray(cut)];
+        const events = pieces.flatMap((piece) => splitter.split(piece).events);
+        expect(events.map(({ id }) => id)).toEqual(['1', '2']);
+        expect(splitter.hasRest()).toBe(true);
+      }
+    },
+  );
 
   it('gives up on an event that does not end', () => {
     expect(countPieces(KIB, 1_000)).toBe(129);
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -2,6 +2,7 @@
 
 import { createByteBudget } from './createByteBudget';
 import { createByteBuffer } from './createByteBuffer';
+import { findEventEnd } from './findEventEnd';
 import { splitEvents } from './splitEvents';
 import type { StreamEvent } from './splitEvents';
 
@@ -21,15 +22,19 @@
 /** Largest stream of one server: a thousand of the largest sound events, or many more usual ones. */
 const MAX_STREAM_BYTES = 32 * 1024 * 1024;
 
-const LINE_END = 0x0a;
-
-const EVENT_END = '\n\n';
+/** Bytes of an empty line that may have come before the rest of it. */
+const MAX_CUT_BYTES = 2;
 
 export function createEventSplitter(): EventSplitter {
   const budget = createByteBudget(MAX_STREAM_BYTES);
   let rest = createByteBuffer();
-  const endsEvent = (piece: Buffer): boolean =>
-    piece.includes(EVENT_END) || (piece[0] === LINE_END && rest.bytes().at(-1) === LINE_END);
+  const endsEvent = (piece: Buffer): boolean => {
+    if (findEventEnd(piece) !== undefined) return true;
+    const begin = piece.subarray(0, MAX_CUT_BYTES);
+    if (!begin.includes('\n') || rest.length() === 0) return false;
+    const cut = Buffer.concat([rest.bytes().subarray(-MAX_CUT_BYTES), begin]);
+    return findEventEnd(cut) !== undefined;
+  };
   const takeEvents = (piece: Buffer): readonly StreamEvent[] => {
     if (!endsEvent(piece)) {
       rest.append(piece);
--- a/src/gateway/splitEvents.ts
+++ b/src/gateway/splitEvents.ts
@@ -3,6 +3,8 @@
  * The bytes stay as the backend server wrote them; only the id is parsed.
  */
 
+import { findEventEnd } from './findEventEnd';
+
 export interface StreamEvent {
   readonly bytes: Buffer;
   /** Undefined if the event has no `id` line, as for a comment. */
@@ -15,7 +17,6 @@
   readonly rest: Buffer;
 }
 
-const EVENT_END = '\n\n';
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
 
 /**
@@ -27,9 +28,8 @@
   const events: StreamEvent[] = [];
   let from = 0;
   for (;;) {
-    const end = bytes.indexOf(EVENT_END, from);
-    if (end < 0) return { events, rest: bytes.subarray(from) };
-    const to = end + EVENT_END.length;
+    const to = findEventEnd(bytes, from);
+    if (to === undefined) return { events, rest: bytes.subarray(from) };
     const event = bytes.subarray(from, to);
     events.push({ bytes: event, id: ID_LINE.exec(event.toString('latin1'))?.[1] });
     from = to;
--- a/src/gateway/streamProgress.test.ts
+++ b/src/gateway/streamProgress.test.ts
@@ -18,6 +18,20 @@
     expect(isNewer('11', '10')).toBe(true);
   });
 
+  it('tells ids apart that a floating-point number can not', () => {
+    expect(isNewer('9007199254740993', '9007199254740992')).toBe(true);
+    expect(isNewer('18446744073709551615', '18446744073709551614')).toBe(true);
+    expect(isNewer('18446744073709551614', '18446744073709551615')).toBe(false);
+  });
+
+  it('compares ids that are no whole numbers too', () => {
+    expect([isNewer('2.5', '2'), isNewer('b', 'a'), isNewer('a', 'a')]).toEqual([
+      true,
+      true,
+      false,
+    ]);
+  });
+
   it('accepts any first event', () => {
     expect(isNewer('1', undefined)).toBe(true);
   });
--- a/src/gateway/streamProgress.ts
+++ b/src/gateway/streamProgress.ts
@@ -30,6 +30,9 @@
   };
 }
 
+/** An id that is a whole number; some are longer than a floating-point number can tell apart. */
+const WHOLE_NUMBER = /^\d{1,40}$/;
+
 /**
  * Compares the ids of two events of a stream.
  *
@@ -37,6 +40,8 @@
  */
 export function isNewer(id: string | undefined, lastEventId: string | undefined): boolean {
   if (id === undefined || lastEventId === undefined) return true;
+  if (WHOLE_NUMBER.test(id) && WHOLE_NUMBER.test(lastEventId))
+    return BigInt(id) > BigInt(lastEventId);
   const [next, last] = [Number(id), Number(lastEventId)];
   return Number.isFinite(next) && Number.isFinite(last) ? next > last : id !== lastEventId;
 }
