--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -13,6 +13,7 @@
 import { followCatalog } from '../adapters/gateway/followCatalog';
 import { followServers } from '../adapters/gateway/followServers';
 import { shareReports } from '../adapters/gateway/shareReports';
+import { trackIdleConnections } from '../adapters/gateway/trackIdleConnections';
 import type { ClockReading } from '../catalog/confirmation';
 import { checkReportedServers } from '../gateway/checkReportedServers';
 import { createLagMonitor, LAG_INTERVAL_MS } from '../gateway/createLagMonitor';
@@ -245,6 +246,7 @@
     shedding.check();
   }, LAG_INTERVAL_MS);
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
+  const idleConnections = trackIdleConnections(callerServer);
   listen(callerServer, settings.listen.callers);
   const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
   listen(tableServer, settings.listen.tables);
@@ -274,9 +276,7 @@
       const deadlineMs = stoppingSinceMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
       await waitUntil(
         () => now() >= deadlineMs || (isClosing() && gateway.active() === 0),
-        () => {
-          callerServer.closeIdleConnections();
-        },
+        idleConnections.close,
       );
       fleetWork.stop();
       clearInterval(lagTimer);
