Do not take the end of a partition for answers of the servers

A suspicion that has another explanation is now dropped, which says nothing of whether the server has ended; the same for a server that only accepts a connection.

--- a/src/gateway/createServerProbes.ts
+++ b/src/gateway/createServerProbes.ts
@@ -70,7 +70,7 @@
       // A frozen process accepts connections too, so this lifts a suspicion only where no query ever will.
       const isNeverQueried = registry.limitWaitMs(id, 'control') === Infinity;
       const suspicion = registry.suspicions().find((one) => one.id === id);
-      if (isNeverQueried && suspicion?.reason !== 'restarted') registry.clearSuspicion(id);
+      if (isNeverQueried && suspicion?.reason !== 'restarted') registry.dropSuspicion(id);
       return { type: 'failed', detail: 'at its limit' };
     }
     registry.suspect(id, found);
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -192,6 +192,9 @@
       if (server !== undefined) for (const listener of answerListeners) listener(server);
       notifyChange();
     },
+    dropSuspicion: (id) => {
+      if (suspicions.lift(id, 'suspicion dropped')) notifyChange();
+    },
     isSuspected: suspicions.has,
     suspicions: suspicions.list,
     backOff: (id, forMs) => {
--- a/src/gateway/createSuspicions.ts
+++ b/src/gateway/createSuspicions.ts
@@ -27,8 +27,11 @@
     reason: SuspicionReason,
     detail: string | undefined,
   ) => boolean;
-  /** @returns false if the server was not suspected */
-  readonly lift: (id: string) => boolean;
+  /**
+   * @param message what the log says of it; by default that the server answers
+   * @returns false if the server was not suspected
+   */
+  readonly lift: (id: string, message?: string) => boolean;
   readonly has: (id: string) => boolean;
   readonly list: () => readonly ServerSuspicion[];
   /** Drops the suspicions of incarnations that are not among the servers. */
@@ -61,13 +64,13 @@
       log('server suspected', { server: id, address, reason, detail });
       return known === undefined;
     },
-    lift: (id) => {
+    lift: (id, message = 'server answers again') => {
       const suspicion = suspected.get(id);
       if (suspicion === undefined) return false;
       suspected.delete(id);
       const { reason, sinceMs } = suspicion;
       count('suspicions_lifted', reason);
-      log('server answers again', {
+      log(message, {
         server: id,
         reason,
         suspectedMs: Math.round(now() - sinceMs),
--- a/src/gateway/serverRegistry.ts
+++ b/src/gateway/serverRegistry.ts
@@ -43,7 +43,10 @@
   readonly chainEngines: (service: string, model: PipelineModel) => readonly ChainEngine[];
   /** Marks a server as suspected; notifies listeners unless it is suspected already. */
   readonly suspect: (id: string, reason: SuspicionReason, detail?: string) => void;
+  /** Clears the suspicion of a server that has answered; notifies listeners. */
   readonly clearSuspicion: (id: string) => void;
+  /** Clears a suspicion that has another explanation; whether the server has ended stays as it was. */
+  readonly dropSuspicion: (id: string) => void;
   readonly isSuspected: (id: string) => boolean;
   readonly suspicions: () => readonly ServerSuspicion[];
   /** Treats the server as draining, as its own reply says, until it is listed with another start. */
--- a/src/node/createBackendView.ts
+++ b/src/node/createBackendView.ts
@@ -71,7 +71,7 @@
     if (isPartitioned || !hasReachingPeers()) return;
     for (const { id, sinceMs, reason } of registry.suspicions()) {
       const isExplained = sinceMs >= beganMs - UNNOTICED_MS && reason !== 'restarted';
-      if (isExplained) registry.clearSuspicion(id);
+      if (isExplained) registry.dropSuspicion(id);
     }
   });
   /** A server that a partitioned VM does not reach may be sound. */
