Fault soak: links refuse connections to servers that have ended

On the users' system an address without a process refuses. A link now follows the proxy of its server, below partitions.

Shown by startProxy.test.ts: modes are told, silence holds.

--- a/measurements/faultSoak/startServerLinks.ts
+++ b/measurements/faultSoak/startServerLinks.ts
@@ -3,6 +3,7 @@
  * servers while it keeps its callers, the store and the other VMs.
  */
 
+import type { EngineStandin } from '../../platform/standins/engineStandin';
 import type { FaultProxy, ProxyMode } from '../../standins/proxy/startProxy';
 import { startProxy } from '../../standins/proxy/startProxy';
 
@@ -30,30 +31,46 @@
   hang: 'cut',
 };
 
-/** @param addresses the servers */
-export async function startServerLinks(addresses: readonly string[]): Promise<ServerLinks> {
+/** @param backendServers the servers; a link to one whose process has ended refuses connections as well */
+export async function startServerLinks(
+  backendServers: readonly Pick<EngineStandin, 'address' | 'proxy'>[],
+): Promise<ServerLinks> {
   const proxies: ReadonlyMap<string, FaultProxy> = new Map(
     await Promise.all(
-      addresses.map(async (address) => [address, await startProxy(address)] as const),
+      backendServers.map(async ({ address }) => [address, await startProxy(address)] as const),
     ),
   );
+  const ended = new Set<string>();
+  let partitionMode: ProxyMode | undefined;
   const servers = new Map([...proxies].map(([address, proxy]) => [proxy.address, address]));
   const partitions: { readonly fromMs: number; toMs: number }[] = [];
-  const setMode = (mode: ProxyMode): void => {
-    for (const proxy of proxies.values()) proxy.setMode(mode);
+  const updateMode = (address: string): void => {
+    const ownMode = ended.has(address) ? 'down' : 'pass';
+    proxies.get(address)?.setMode(partitionMode ?? ownMode);
   };
+  const setPartitionMode = (mode: ProxyMode | undefined): void => {
+    partitionMode = mode;
+    for (const address of proxies.keys()) updateMode(address);
+  };
+  for (const { address, proxy } of backendServers) {
+    proxy.onMode((mode) => {
+      if (mode === 'down') ended.add(address);
+      else ended.delete(address);
+      updateMode(address);
+    });
+  }
   return {
     toServer: (link) => servers.get(link),
     toLink: (address) => proxies.get(address)?.address ?? address,
     partition: (kind) => {
       partitions.push({ fromMs: performance.now(), toMs: Infinity });
-      setMode(MODES[kind]);
+      setPartitionMode(MODES[kind]);
       if (kind === 'reset') for (const proxy of proxies.values()) proxy.reset();
     },
     heal: () => {
       const last = partitions.at(-1);
       if (last !== undefined) last.toMs = Math.min(last.toMs, performance.now());
-      setMode('pass');
+      setPartitionMode(undefined);
     },
     wasPartitioned: (fromMs, toMs) =>
       partitions.some((span) => span.fromMs <= toMs && span.toMs >= fromMs),
--- a/measurements/faultSoak/startSoakSite.ts
+++ b/measurements/faultSoak/startSoakSite.ts
@@ -21,10 +21,7 @@
    * Daemon of another version. VMs begin with either in turn, and change between both at every start.
    */
   readonly otherProgram?: string | undefined;
-  /**
-   * Whether VMs can be partitioned from the servers. A link accepts connections to a server that has ended, and
-   * resets them.
-   */
+  /** Whether VMs can be partitioned from the servers. */
   readonly hasLinks?: boolean;
   /** What the servers call, and what ends them. */
   readonly serverHooks: Omit<EngineOptions, 'id' | 'service' | 'zone' | 'kind' | 'store'>;
@@ -85,7 +82,7 @@
   engines: readonly EngineStandin[],
   options: Omit<GatewayProcessOptions, 'storeAddress' | 'links'>,
 ): Promise<GatewayProcess> {
-  const links = await startServerLinks(engines.map(({ address }) => address));
+  const links = await startServerLinks(engines);
   const storeAddress = await store.openView((table, value) =>
     table === 'servers' ? replaceAddress(value, links.toLink) : value,
   );
--- a/standins/proxy/startProxy.test.ts
+++ b/standins/proxy/startProxy.test.ts
@@ -166,4 +166,25 @@
     await sleep(OBSERVED_MS);
     expect(callee.received()).toBe('');
   });
+
+  it('silences open connections for good, and no new ones', async () => {
+    const caller = await open();
+    const callee = await findAccepted(0);
+    proxy.silence();
+    caller.socket.write('a');
+    callee.socket.end('b');
+    const late = await open();
+    const lateCallee = await findAccepted(1);
+    late.socket.write('c');
+    await lateCallee.waitFor('c');
+    expect([callee.received(), caller.received()]).toEqual(['', '']);
+  });
+
+  it('tells of its modes', () => {
+    const modes: string[] = [];
+    proxy.onMode((mode) => modes.push(mode));
+    proxy.setMode('down');
+    proxy.setMode('pass');
+    expect(modes).toEqual(['down', 'pass']);
+  });
 });
--- a/standins/proxy/startProxy.ts
+++ b/standins/proxy/startProxy.ts
@@ -16,6 +16,8 @@
 export interface FaultProxy {
   readonly address: string;
   readonly setMode: (mode: ProxyMode) => void;
+  /** Called with each mode that is set from now on. */
+  readonly onMode: (listener: (mode: ProxyMode) => void) => void;
   /**
    * Time at which the caller closed a connection, monotonic, milliseconds; it can be before the target learns of it.
    * Undefined while it is open.
@@ -45,6 +47,7 @@
   const open = new Set<Socket>();
   const silenced = new WeakSet<Socket>();
   const waiters = new Set<() => void>();
+  const modeListeners: ((mode: ProxyMode) => void)[] = [];
   /** By port of the connection to the target. */
   const callers = new Map<number, { closedMs: number | undefined }>();
   let mode: ProxyMode = 'pass';
@@ -138,6 +141,10 @@
       if (!CLOSED_MODES.has(next) && wasClosed) listenAgain();
       for (const waiter of waiters) waiter();
       waiters.clear();
+      for (const listener of modeListeners) listener(next);
+    },
+    onMode: (listener) => {
+      modeListeners.push(listener);
     },
     silence: () => {
       for (const socket of open) silenced.add(socket);
