Stop: leave connections on which a request may be on its way

Found on reading again: the server's own method closes no connection before its first request is over, nor one on which a further request has begun; the tracking that replaced it did, so a caller that connected during a stop was cut before its request was read. A connection now counts as idle only after an answer, and if nothing was received since. The new case of trackIdleConnections.test.ts failed before.

--- a/src/adapters/gateway/trackIdleConnections.test.ts
+++ b/src/adapters/gateway/trackIdleConnections.test.ts
@@ -65,4 +65,23 @@
     expect(socket.destroyed).toBe(false);
     socket.destroy();
   });
+
+  it('leaves a connection that has sent nothing yet, or the begin of its next request', async () => {
+    const { port } = server.address() as AddressInfo;
+    const fresh = connect(port, '127.0.0.1');
+    await once(fresh, 'connect');
+    const begun = await open('/now');
+    await once(begun, 'data');
+    begun.write('GET /now HT');
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    idle.close();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    begun.write('TP/1.1\r\nHost: a\r\n\r\n');
+    fresh.write('GET /now HTTP/1.1\r\nHost: a\r\n\r\n');
+    const answers = await Promise.all([once(begun, 'data'), once(fresh, 'data')]);
+    expect(answers.map(([bytes]) => String(bytes).slice(0, 15))).toEqual([
+      'HTTP/1.1 200 OK',
+      'HTTP/1.1 200 OK',
+    ]);
+  });
 });
--- a/src/adapters/gateway/trackIdleConnections.ts
+++ b/src/adapters/gateway/trackIdleConnections.ts
@@ -7,29 +7,40 @@
 import type { Socket } from 'node:net';
 
 export interface IdleConnections {
-  /** Closes each connection that has no request and nothing left to send. */
+  /** Closes each connection whose answers are sent and on which no further request has begun. */
   readonly close: () => void;
 }
 
+interface Connection {
+  /** Requests whose answer is not sent. */
+  readonly pending: number;
+  /** Bytes received until the last answer was sent; undefined before the first. */
+  readonly bytesRead: number | undefined;
+}
+
 /** @param server a server that has accepted no connection yet */
 export function trackIdleConnections(server: Server): IdleConnections {
-  /** Answers that are not sent, by connection. */
-  const pending = new Map<Socket, number>();
+  const connections = new Map<Socket, Connection>();
   server.on('connection', (socket: Socket) => {
-    pending.set(socket, 0);
-    socket.once('close', () => pending.delete(socket));
+    connections.set(socket, { pending: 0, bytesRead: undefined });
+    socket.once('close', () => connections.delete(socket));
   });
   server.on('request', ({ socket }, response) => {
-    pending.set(socket, (pending.get(socket) ?? 0) + 1);
+    const add = (change: number, bytesRead: number | undefined): void => {
+      const known = connections.get(socket);
+      if (known !== undefined)
+        connections.set(socket, { pending: known.pending + change, bytesRead });
+    };
+    add(1, undefined);
     response.once('close', () => {
-      const count = pending.get(socket);
-      if (count !== undefined) pending.set(socket, count - 1);
+      add(-1, socket.bytesRead);
     });
   });
   return {
     close: () => {
-      for (const [socket, count] of pending) {
-        if (count === 0 && socket.writableLength === 0) socket.destroy();
+      for (const [socket, { pending, bytesRead }] of connections) {
+        const isIdle = pending === 0 && bytesRead === socket.bytesRead;
+        if (isIdle && socket.writableLength === 0) socket.destroy();
       }
     },
   };
