--- a/measurements/faultSoak/soakCases.ts
+++ b/measurements/faultSoak/soakCases.ts
@@ -163,4 +163,22 @@
     cause: 'harmful contents run on; not traced by itself',
     isInSuite: false,
   },
+  {
+    seed: 410002,
+    faults: 16,
+    fatalKinds: FATAL_KINDS,
+    hasLimits: true,
+    hasPartitions: true,
+    cause: 'a harmful stream has no attempt left and is cut; not traced',
+    isInSuite: false,
+  },
+  {
+    seed: 410006,
+    faults: 16,
+    fatalKinds: FATAL_KINDS,
+    hasLimits: true,
+    hasPartitions: true,
+    cause: 'a harmful stream runs on in one of three runs; not traced',
+    isInSuite: false,
+  },
 ];
