Refuse a request for a table whose target is no URL

The listener for other VMs parsed the request target with the runtime's URL, which throws for targets such as // or http://, and nothing caught that: one such request ended the VM with all that it served.

The other listeners do not parse targets.

--- a/src/adapters/gateway/createTableRelay.ts
+++ b/src/adapters/gateway/createTableRelay.ts
@@ -93,7 +93,8 @@
       }
     },
     handle: (request, response) => {
-      const query = new URL(request.url ?? '/', 'http://vm').searchParams;
+      const [, search] = (request.url ?? '').split('?', 2);
+      const query = new URLSearchParams(search);
       const table = query.get('table') ?? '';
       const readNumber = (name: string): number => Number(query.get(name) ?? Number.NaN);
       const since = { era: readNumber('era'), version: readNumber('since') };
