Answer what is open at the end of a stop, and take nothing late in it

Here: a request whose head came before new ones were refused and whose body came later was still sent to a server; at the end of the grace period everything that was open was cut without an answer, also what had never been sent. Such requests are now refused as not run when their body ends, and at the end each request without an answer gets one: 503 if no server can have it, 502 if one may.

Work on a request is cancelled once it has its answer, so that a second attempt can't write behind it; that this ended a process was not shown, since the check for the rest of a stream stands before it. The description of a request has a file of its own.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -6,15 +6,14 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { authorize } from '../../catalog/authorize';
-import type { AnswerForm, Catalog, RouteRule, ServiceProfile } from '../../catalog/catalog';
-import { listContents } from '../../crashes/listContents';
+import type { AnswerForm, Catalog } from '../../catalog/catalog';
 import { matchRoute } from '../../catalog/matchRoute';
 import { pickService } from '../../catalog/pickService';
-import { fingerprint } from '../../hashing/fingerprint';
 import type { ForwardedRequest } from '../../gateway/forwardedRequest';
 import { decodeForwardedRequest, FORWARDED_HEADER } from '../../gateway/forwardedRequest';
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
+import { createJob } from './createJob';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { ELSEWHERE } from './openPeerExchange';
@@ -33,6 +32,8 @@
   readonly handleForwarded: RequestHandler;
   /** Number of requests whose response has not ended. */
   readonly active: () => number;
+  /** Answers all requests that have no answer yet, as the process is about to end. */
+  readonly giveUpAll: () => void;
 }
 
 export interface GatewayOptions {
@@ -49,21 +50,12 @@
   readonly isDraining: () => boolean;
 }
 
-/** Deadline of a request for which the caller sets none; the route's timeout still applies. */
-const DEFAULT_DEADLINE_MS = 30_000;
-
 /** Delay after which the caller may retry at another VM. */
 const PEER_RETRY_MS = 50;
 
 /** Delay before a retry where no VM accepts callers, for instance while the store is unreachable. */
 const NO_PEER_RETRY_MS = 1_500;
 
-/** A response sent closer than this to the deadline would reach the caller too late. */
-const EXPIRY_MARGIN_MS = 10;
-
-/** Length of a content's fingerprint: short, as VMs exchange it, and too long to be met by chance. */
-const CONTENT_CHARS = 24;
-
 type JobHandler = (host: GatewayHost, job: Job) => Promise<void>;
 
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
@@ -77,7 +69,8 @@
     call: (gateway, job) => serveCall(gateway, job, history),
     stream: (gateway, job) => serveStream(gateway, job, queue),
   };
-  let active = 0;
+  /** Requests whose response has not ended; undefined until the request is read. */
+  const open = new Map<ServerResponse, Job | undefined>();
 
   const refuse = (
     request: IncomingMessage,
@@ -133,8 +126,20 @@
     const workspace = access.credential?.workspace;
     const { body } = read;
     const { version: catalogVersion } = currentCatalog;
+    if (isClosing()) {
+      refuse(request, response, 'not-run', retryOptions);
+      return;
+    }
     const accepted = { request, response, rule, profile, workspace, arrivedMs, body };
-    const job = createJob({ ...accepted, catalogVersion, forwarded });
+    const job = createJob({
+      ...accepted,
+      head,
+      catalogVersion,
+      forwarded,
+      isRetry:
+        forwarded?.isRetry ?? retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
+    });
+    if (open.has(response)) open.set(response, job);
     host.contentSuspicions.recordArrival(job.contents);
     const heldMs = host.contentSuspicions.heldMs(job.contents);
     if (heldMs > 0) {
@@ -149,9 +154,13 @@
     });
     const priority = access.credential?.priority ?? rule.priority;
     await handlers[rule.form](host, { ...job, priority });
+    // What still runs for it, such as a second attempt, must not write behind the answer.
+    job.cancel();
   };
 
   const expire = (job: Job): void => {
+    // An answer that its caller has not taken yet stays on its way.
+    if (job.isOver()) return;
     host.count('expired', job.rule.form);
     host.log('request expired', {
       id: job.head.id,
@@ -159,60 +168,16 @@
       hasBegun: job.response.headersSent,
     });
     refuseJob(job.response, job.wasSent() ? 'expired' : 'expired-not-run', host.protocol);
+    job.cancel();
   };
 
-  interface AcceptedRequest {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly rule: RouteRule;
-    readonly profile: ServiceProfile;
-    readonly workspace: string | undefined;
-    readonly arrivedMs: number;
-    readonly body: Buffer | undefined;
-    readonly catalogVersion: number;
-    readonly forwarded: ForwardedRequest | undefined;
-  }
-
-  const createJob = (accepted: AcceptedRequest): Job => {
-    const { request, response, rule, profile, workspace, arrivedMs, body, forwarded } = accepted;
-    let isSent = false;
-    const head = host.protocol.readRequest(request.headers);
-    const { method = 'GET', url = '/', headers } = request;
-    const bodyText = body?.toString('latin1');
-    const content = fingerprint([headers.host, method, url, workspace, bodyText]).slice(
-      0,
-      CONTENT_CHARS,
-    );
-    const { sharedParts } = head;
-    const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, rule.timeoutMs);
-    return {
-      head,
-      rule,
-      profile,
-      workspace,
-      priority: rule.priority,
-      method,
-      path: url,
-      headers,
-      body,
-      content,
-      contents: listContents({ request: content, service: profile.name, sharedParts }),
-      response,
-      arrivedMs,
-      forwarded,
-      catalogVersion: accepted.catalogVersion,
-      isRetry:
-        forwarded?.isRetry ?? retryDetector.isRetry(rule.name, head.deadlineMs, rule.targetMs),
-      expiresMs: arrivedMs + Math.max(1, limitMs - EXPIRY_MARGIN_MS),
-      markSent: () => {
-        isSent = true;
-      },
-      wasSent: () => isSent,
-      isOver: () => response.writableEnded || response.destroyed,
-      onClose: (listener) => {
-        response.once('close', listener);
-      },
-    };
+  const giveUp = (response: ServerResponse, job: Job | undefined): void => {
+    if (response.writableEnded || response.destroyed) return;
+    const reason = job?.wasSent() === true ? 'unknown-outcome' : 'not-run';
+    host.count('refusals', reason);
+    host.log('request given up', { id: job?.head.id, reason, hasBegun: response.headersSent });
+    refuseJob(response, reason, host.protocol, { retryAfterMs: PEER_RETRY_MS, isLast: true });
+    job?.cancel();
   };
 
   const handle = (
@@ -220,10 +185,10 @@
     response: ServerResponse,
     forwarded?: ForwardedRequest,
   ): void => {
-    active += 1;
+    open.set(response, undefined);
     response.setMaxListeners(0);
     response.once('close', () => {
-      active -= 1;
+      open.delete(response);
     });
     serve(request, response, forwarded).catch((error: unknown) => {
       host.log('request failed', {
@@ -250,6 +215,9 @@
       if (forwarded !== undefined && canServe(forwarded)) handle(request, response, forwarded);
       else refuse(request, response, ELSEWHERE, { isLast: true });
     },
-    active: () => active,
+    active: () => open.size,
+    giveUpAll: () => {
+      for (const [response, job] of open) giveUp(response, job);
+    },
   };
 }
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -45,8 +45,10 @@
   readonly wasSent: () => boolean;
   /** Whether the response has ended or the caller has left. */
   readonly isOver: () => boolean;
-  /** Called once, when the response is sent in full or the caller leaves. */
+  /** Called once, when the response is sent in full, the caller leaves or the work is cancelled. */
   readonly onClose: (listener: () => void) => void;
+  /** Ends all work on the request, which has its answer. */
+  readonly cancel: () => void;
 }
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
