Take no load that is no number from a heartbeat

Anyone can send to the port. The loads of peers are added up, so one NaN left no engine with a known load for as long as the sender went on, and a VM heard in a time to come stayed live. The four new cases of heartbeatCodec.test.ts failed before.

--- a/src/peers/heartbeatCodec.test.ts
+++ b/src/peers/heartbeatCodec.test.ts
@@ -38,6 +38,25 @@
     expect(Buffer.from(encodeHeartbeat(heartbeat)).toString('hex')).toBe(PRODUCTION_DATAGRAM);
   });
 
+  // Loads of peers are added up, so one that is no number left no server with a known load.
+  it.each([NaN, Infinity, -Infinity])('rejects heartbeats with the number %d', (odd) => {
+    const encoded = [
+      [2, 'vm', 'i', true, [[['e', odd, 1]], 0], [], []],
+      [2, 'vm', 'i', true, [[['e', 1, odd]], 0], [], []],
+      [2, 'vm', 'i', true, [[], odd], [], []],
+      [2, 'vm', 'i', true, [[], 0], [['e', odd]], []],
+      [2, 'vm', 'i', true, [[], 0], [], [['a', [['v', 'f', true, odd]], [[], 0]]]],
+    ];
+    expect(encoded.map((items) => decodeHeartbeat(encode(items)))).toEqual(
+      Array(encoded.length).fill(undefined),
+    );
+  });
+
+  it('takes a VM as heard just now that says it is heard in a time to come', () => {
+    const items = [2, 'vm', 'i', true, [[], 0], [], [['a', [['v', 'f', true, -1e12]], [[], 0]]]];
+    expect(decodeHeartbeat(encode(items))?.domains[0]?.members[0]?.heardAgoMs).toBe(0);
+  });
+
   it('rejects heartbeats with an item of another type at any position', () => {
     const sound = [
       2,
--- a/src/peers/heartbeatCodec.ts
+++ b/src/peers/heartbeatCodec.ts
@@ -65,12 +65,12 @@
 function decodeWork(value: unknown): GatewayWork | undefined {
   if (!isTuple(value, 2)) return undefined;
   const [loads, crossingPerMs] = value;
-  if (!Array.isArray(loads) || typeof crossingPerMs !== 'number') return undefined;
+  if (!Array.isArray(loads) || !isFiniteNumber(crossingPerMs)) return undefined;
   const servers = new Map<string, ServerLoad>();
   for (const load of loads as readonly unknown[]) {
     if (!isTuple(load, 3)) return undefined;
     const [id, reserved, running] = load;
-    if (typeof id !== 'string' || typeof reserved !== 'number' || typeof running !== 'number') {
+    if (typeof id !== 'string' || !isFiniteNumber(reserved) || !isFiniteNumber(running)) {
       return undefined;
     }
     servers.set(id, { reserved, running });
@@ -81,15 +81,16 @@
 function decodeLostServer(value: unknown): Heartbeat['lost'][number] | undefined {
   if (!isTuple(value, 2)) return undefined;
   const [id, bornMs] = value;
-  return typeof id === 'string' && typeof bornMs === 'number' ? { id, bornMs } : undefined;
+  return typeof id === 'string' && isFiniteNumber(bornMs) ? { id, bornMs } : undefined;
 }
 
 function decodeMember(value: unknown): DomainMember | undefined {
   if (!isTuple(value, 4)) return undefined;
   const [vm, incarnation, isAccepting, heardAgoMs] = value;
   if (typeof vm !== 'string' || typeof incarnation !== 'string') return undefined;
-  if (typeof isAccepting !== 'boolean' || typeof heardAgoMs !== 'number') return undefined;
-  return { vm, incarnation, isAccepting, heardAgoMs };
+  if (typeof isAccepting !== 'boolean' || !isFiniteNumber(heardAgoMs)) return undefined;
+  // A time to come would keep the VM alive until then.
+  return { vm, incarnation, isAccepting, heardAgoMs: Math.max(0, heardAgoMs) };
 }
 
 function decodeDomain(value: unknown): DomainDigest | undefined {
@@ -121,3 +122,8 @@
 function isTuple(value: unknown, length: number): value is readonly unknown[] {
   return Array.isArray(value) && value.length === length;
 }
+
+/** Loads are added up: one that is no number would spoil the sum for good. */
+function isFiniteNumber(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value);
+}
