Start with an address that is taken, and survive a log reader that has gone

By reading, without a case: an error of accept ended a VM, as the listeners dropped their error handler; a datagram that was due when the sockets had closed did so during a stop.

Addresses are now tried again, the log drops and counts lines that nobody takes, a stop begins once, and an error that no handler foresees is logged (unexpected error) and counted; what it interrupted is lost, but not all other requests of the VM. A start that fails in the middle exits; it went on half started. Ports of the settings are checked.

Not reproduced: odd datagrams, odd requests at the other addresses, a log reader that takes nothing, no standard output, unreadable settings with bursts of SIGHUP.

--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -3,7 +3,6 @@
  * in a small fleet and through relays in a large one. Membership itself is kept in rows of the store.
  */
 
-import { createSocket } from 'node:dgram';
 import type { ServerRegistry } from '../../gateway/serverRegistry';
 import type { GatewayWork } from '../../gateway/gatewayWork';
 import type { LogFields } from '../../gateway/job';
@@ -18,6 +17,7 @@
 import type { DomainDigest, PeerStatus, Heartbeat, PeerRecord } from '../../peers/peer';
 import type { DigestScope } from '../../peers/planHeartbeats';
 import { planHeartbeats } from '../../peers/planHeartbeats';
+import { createPeerSocket } from './createPeerSocket';
 
 export interface PeerGroup {
   readonly setRecords: (records: readonly PeerRecord[]) => void;
@@ -95,8 +95,6 @@
   let records: readonly PeerRecord[] = [self];
   /** Listed anew with each heartbeat, as requests ask for them often. */
   let members: readonly string[] | undefined;
-  const socket = createSocket('udp4');
-  const [host, port] = self.peerAddress.split(':');
   const relayMonitor = createRelayMonitor(now);
   const digests = createDigestCache(now, WORK_VALID_MS);
   let heartbeatCount = 0;
@@ -135,9 +133,7 @@
         : [{ ...ownDigest(), members: [] }],
   };
   const sendTo = ({ peerAddress }: PeerRecord, datagram: Uint8Array): void => {
-    const [peerHost, peerPort] = peerAddress.split(':');
-    // A send error counts as a lost datagram, which receivers tolerate up to a limit.
-    socket.send(datagram, Number(peerPort), peerHost, () => undefined);
+    socket.send(peerAddress, datagram);
   };
   const announce = (): void => {
     // Makes this heartbeat a full one, because it announces a change.
@@ -221,7 +217,7 @@
     for (const id of suspectsByVm.get(vm) ?? []) if (!ids.has(id)) options.onRecovered(id);
     suspectsByVm.set(vm, ids);
   };
-  socket.on('message', (datagram) => {
+  const receive = (datagram: Uint8Array): void => {
     const heartbeat = decodeHeartbeat(datagram);
     if (heartbeat === undefined) {
       options.onDatagram?.(datagram);
@@ -231,11 +227,8 @@
     if (heartbeat.domains.length === 0) mergeHeartbeat(heartbeat);
     else for (const digest of heartbeat.domains) mergeDigest(digest);
     mergeSuspects(heartbeat);
-  });
-  socket.on('error', (error) => {
-    log('peer socket failed', { error: error.message });
-  });
-  socket.bind(Number(port), host);
+  };
+  const socket = createPeerSocket({ address: self.peerAddress, onDatagram: receive, log });
   let timer: NodeJS.Timeout;
   const sendPeriodically = (): void => {
     sendHeartbeats();
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -2,8 +2,9 @@
 
 import { parse } from 'smol-toml';
 import * as z from 'zod';
+import { isSocketAddress } from '../contracts/isSocketAddress';
 
-const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'must be IP:PORT');
+const address = z.string().refine(isSocketAddress, 'must be IP:PORT');
 const duration = z.number().nonnegative();
 
 const schema = z.object({
--- a/src/node/listen.ts
+++ b/src/node/listen.ts
@@ -1,31 +1,43 @@
-/** Binds a server to an address, or reports why it cannot. */
+/**
+ * Binds a server to an address. Where that fails, it is tried again: the address may still be held by a process that
+ * is ending, or not be assigned to the VM yet. A server that has an error goes on with the connections that it has.
+ */
 
 import type { Server } from 'node:http';
 
-/** Exit code when an address cannot be bound. */
-const EXIT_BIND_FAILED = 1;
+export interface ListenOptions {
+  /** Called with a message for each error. */
+  readonly onFailure: (message: string) => void;
+  /** Time from a failed attempt to the next one, milliseconds. */
+  readonly retryMs?: number;
+}
+
+const DEFAULT_RETRY_MS = 500;
 
 /**
  * @param server the server
  * @param address IP and port
- * @param onFailure called with a message when the address cannot be bound; by default ends the process
  */
 export function listen(
   server: Server,
   address: string,
-  onFailure: (message: string) => void = endProcess,
+  { onFailure, retryMs = DEFAULT_RETRY_MS }: ListenOptions,
 ): void {
   const [host, port] = address.split(':');
-  const fail = (error: Error): void => {
-    onFailure(`Cannot listen on ${address}: ${error.message}`);
+  let isClosed = false;
+  const bind = (): void => {
+    if (!isClosed) server.listen(Number(port), host);
   };
-  server.once('error', fail);
-  server.listen(Number(port), host, () => {
-    server.off('error', fail);
+  server.on('close', () => {
+    isClosed = true;
   });
-}
-
-function endProcess(message: string): void {
-  process.stderr.write(`${message}\n`);
-  process.exit(EXIT_BIND_FAILED);
+  server.on('error', (error) => {
+    if (server.listening) {
+      onFailure(`Cannot accept a connection on ${address}: ${error.message}`);
+      return;
+    }
+    onFailure(`Cannot listen on ${address}: ${error.message}`);
+    setTimeout(bind, retryMs);
+  });
+  bind();
 }
--- a/src/node/openAuxiliaryListeners.ts
+++ b/src/node/openAuxiliaryListeners.ts
@@ -15,6 +15,8 @@
   readonly addressesFor: (failureDomain: string | undefined) => readonly string[];
   /** Validity of an address answer, milliseconds. */
   readonly validMs: () => number;
+  /** Called with a message for each error of a listener. */
+  readonly onListenFailure: (message: string) => void;
 }
 
 /** Opens one listener for each distinct address; every listener serves all paths. */
@@ -33,10 +35,16 @@
       response.writeHead(isReady() ? 200 : 503);
       response.end();
     } else if (path.startsWith('/metrics')) {
-      void metrics.text().then((text) => {
-        response.writeHead(200, { 'content-type': metrics.contentType });
-        response.end(text);
-      });
+      metrics.text().then(
+        (text) => {
+          response.writeHead(200, { 'content-type': metrics.contentType });
+          response.end(text);
+        },
+        (error: unknown) => {
+          response.writeHead(500);
+          response.end(String(error));
+        },
+      );
     } else {
       response.writeHead(404);
       response.end();
@@ -44,7 +52,7 @@
   };
   return [...new Set([readiness, directory, metricsAddress])].map((address) => {
     const server = createServer(respond);
-    listen(server, address);
+    listen(server, address, { onFailure: options.onListenFailure });
     return server;
   });
 }
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -5,7 +5,6 @@
  */
 
 import { createServer } from 'node:http';
-import { createEventLog } from '../adapters/gateway/createEventLog';
 import { createGateway } from '../adapters/gateway/createGateway';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
@@ -21,7 +20,7 @@
 import { createStartCheck } from '../gateway/createStartCheck';
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createRetryBudgets } from '../gateway/createRetryBudgets';
-import type { GatewayHost, LogFields } from '../gateway/job';
+import type { GatewayHost } from '../gateway/job';
 import { chooseLongPollTimings } from '../peers/chooseLongPollTimings';
 import type { LongPollTimings } from '../peers/chooseLongPollTimings';
 import { choosePeer } from '../peers/choosePeer';
@@ -32,11 +31,12 @@
 import { createGatewayMetrics } from './createGatewayMetrics';
 import { createOwnRecord } from './createOwnRecord';
 import { createFollowContext } from './createFollowContext';
+import { drainGateway } from './drainGateway';
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
 import { openAuxiliaryListeners } from './openAuxiliaryListeners';
+import { openGatewayLog } from './openGatewayLog';
 import { startFleetWork } from './startFleetWork';
-import { waitUntil } from './waitUntil';
 import type { GatewaySettings } from './gatewaySettings';
 
 export interface GatewayDaemon {
@@ -67,13 +67,10 @@
 const RECENT_START_MS = 2_500;
 
 /**
- * Time from the request to stop until new requests are refused, milliseconds: three validities, since
+ * Time from the request to stop until new requests are refused, milliseconds: nearly three validities, since
  * callers may keep addresses longer than one.
  */
-const REFUSAL_DELAY_MS = 3 * ADDRESS_VALID_MS;
-
-/** Part of the grace period that a drain leaves unused before the process is killed, milliseconds. */
-const GRACE_MARGIN_MS = 300;
+const REFUSAL_DELAY_MS = 2.9 * ADDRESS_VALID_MS;
 
 const MS_PER_SECOND = 1_000;
 
@@ -82,17 +79,9 @@
   let settings = initial;
   const { store, protocol } = platform;
   const now = (): number => performance.now();
-  const log = createEventLog({
-    vm: settings.vm.name,
-    output: (line) => process.stdout.write(`${line}\n`),
-    now,
-  });
-  const writeLog = (message: string, fields: LogFields): void => {
-    log.write(message, fields);
-  };
   const metrics = createGatewayMetrics();
   const { count, observe } = metrics;
-  metrics.gauge('log_lines_dropped', 'Log lines dropped to bound their rate.', log.dropped);
+  const writeLog = openGatewayLog({ vm: settings.vm.name, metrics, now });
   const lag = createLagMonitor(now);
   const backend = createBackendView({
     vm: settings.vm.name,
@@ -152,8 +141,7 @@
     !shedding.isShedding() &&
     catalogFollower.current() !== undefined &&
     catalogFollower.isConfirmed();
-  const isClosing = (): boolean =>
-    stoppingSinceMs !== undefined && now() - stoppingSinceMs > REFUSAL_DELAY_MS;
+  const isClosing = (): boolean => now() - (stoppingSinceMs ?? Infinity) > REFUSAL_DELAY_MS;
 
   const peers = createPeerGroup({
     self,
@@ -247,9 +235,12 @@
   }, LAG_INTERVAL_MS);
   const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
   const idleConnections = trackIdleConnections(callerServer);
-  listen(callerServer, settings.listen.callers);
+  const onFailure = (error: string): void => {
+    writeLog('listener failed', { error });
+  };
+  listen(callerServer, settings.listen.callers, { onFailure });
   const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
-  listen(tableServer, settings.listen.tables);
+  listen(tableServer, settings.listen.tables, { onFailure });
   const auxiliaryServers = openAuxiliaryListeners({
     listen: settings.listen,
     platform,
@@ -257,8 +248,31 @@
     isReady: isAccepting,
     addressesFor: (failureDomain) => chooseAddresses(peers.live(), failureDomain, MAX_ADDRESSES),
     validMs: () => Math.min(ADDRESS_VALID_MS, settings.directory.max_validity_s * MS_PER_SECOND),
+    onListenFailure: onFailure,
   });
 
+  const drain = (): Promise<void> => {
+    stoppingSinceMs = now();
+    peers.announce();
+    return drainGateway({
+      gateway,
+      isClosing,
+      graceMs: settings.drain.grace_s * MS_PER_SECOND,
+      closeIdle: idleConnections.close,
+      release: fleetWork.release,
+      close: () => {
+        fleetWork.stop();
+        clearInterval(lagTimer);
+        sharing.close();
+        peers.close();
+        for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
+      },
+      now,
+      log: writeLog,
+    });
+  };
+  let draining: Promise<void> | undefined;
+
   return {
     reload: (read) => {
       try {
@@ -268,23 +282,9 @@
         writeLog('settings not readable', { error: String(error) });
       }
     },
-    drain: async () => {
-      stoppingSinceMs = now();
-      writeLog('stopping', { active: gateway.active() });
-      peers.announce();
-      const released = fleetWork.release();
-      const deadlineMs = stoppingSinceMs + settings.drain.grace_s * MS_PER_SECOND - GRACE_MARGIN_MS;
-      await waitUntil(
-        () => now() >= deadlineMs || (isClosing() && gateway.active() === 0),
-        idleConnections.close,
-      );
-      fleetWork.stop();
-      clearInterval(lagTimer);
-      sharing.close();
-      peers.close();
-      for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
-      await Promise.race([released, new Promise((resolve) => setTimeout(resolve, 100))]);
-      writeLog('stopped', { active: gateway.active() });
+    drain: () => {
+      draining ??= drain();
+      return draining;
     },
   };
 }
