Count each way in which a request can end the servers that run it

The loss of any engine of the path counts now, once for each path, as engines of one path may be lost for one reason; a request that is refused is taken to no further engine, except when one leaves; - silence: a call without an answer did not count, nor did the end of a server that was silent and left the list. Both count now, for 6 s, as an entry outlives its engine by some heartbeats; - a late end followed by the rest of the stream at the next engine: the rest counted as a complete run and cleared the request. Only a run from the start does now; - a part of prompts that ends engines later than half a second after their first event: each run cleared it.

Changed check: 'clears a part by any run' expected what the last case disproves; it now expects what requests are held to. The harness of createChainRepair.test.ts names contents.

--- a/src/adapters/gateway/createChainRepair.test.ts
+++ b/src/adapters/gateway/createChainRepair.test.ts
@@ -29,10 +29,13 @@
   /** Whether another run can start. */
   readonly canMove?: boolean;
   readonly engines?: readonly ListedServer[];
+  /** Time for which the request is refused. */
+  readonly heldMs?: number;
 }
 
 function createRepair(fixture: RepairFixture) {
   const { result, unanswered = [], canMove = false, engines = [...servers, ...spares] } = fixture;
+  const { heldMs = 0 } = fixture;
   const moves: string[] = [];
   const now = (): number => 0;
   const registry = createServerRegistry({
@@ -58,6 +61,7 @@
         return Promise.resolve({ type: 'failed', detail: 'not used' });
       },
     },
+    contentSuspicions: { heldMs: () => heldMs },
     failureDomain: 'a',
     now,
     random: () => 0.5,
@@ -66,7 +70,7 @@
   } as unknown as GatewayHost;
   const stages = [createStage('a', 0, 3), createStage('b', 3, 6), createStage('c', 6, 8)];
   const repair = createChainRepair(host, {
-    job: { head: { id: 'r' }, profile: { name: 'drafts' } } as unknown as Job,
+    job: { head: { id: 'r' }, profile: { name: 'drafts' }, contents: [] } as unknown as Job,
     model: testModel,
     stages,
     reservation: registry.reserve(stages, 100),
@@ -84,6 +88,15 @@
 }
 
 describe('createChainRepair', () => {
+  // Repairs took a request that ends engines from one to the next.
+  it('takes a request that is refused to no further engine, except when one leaves', async () => {
+    const { repair, paths } = createRepair({ result: ACCEPTED, heldMs: 1 });
+    await repair.repair(new Set(['b']), 'engine lost');
+    expect(paths).toEqual([]);
+    await repair.repair(new Set(['b']), 'engine leaving');
+    expect(paths).toEqual(['a d c']);
+  });
+
   it('replaces one engine and keeps the others', async () => {
     const { repair, paths } = createRepair({ result: ACCEPTED });
     await repair.repair(new Set(['b']), 'engine lost');
--- a/src/adapters/gateway/createChainRepair.ts
+++ b/src/adapters/gateway/createChainRepair.ts
@@ -171,6 +171,10 @@
     // Orders go through the first engine. While it does not answer, the stream waits for it or moves; while
     // it wants no requests, no order is sent.
     if (replacedIds.has(entry.id) || registry.quietMs(entry.id) > 0) return;
+    if (cause !== PLANNED_CAUSE && host.contentSuspicions.heldMs(job.contents) > 0) {
+      host.log('chain repair held back', { id: job.head.id, lost: [...replacedIds].join(' ') });
+      return;
+    }
     const path = choosePath(model, replacedIds, cause);
     if (path === 'moved') return;
     lastCause = cause;
--- a/src/adapters/gateway/createStreamAttempts.ts
+++ b/src/adapters/gateway/createStreamAttempts.ts
@@ -5,7 +5,7 @@
  */
 
 import type { ListedServer, Stage } from '../../chains/layerEngine';
-import { crashLimitOf } from '../../crashes/crashLimitOf';
+import { SILENT_LOSS_VALID_MS } from '../../gateway/contentSuspicions';
 import { createHarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { HarmlessRunDetector } from '../../gateway/createHarmlessRunDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
@@ -26,6 +26,8 @@
   /** The first engine as it was listed when the attempt began. */
   readonly incarnation: ListedServer | undefined;
   readonly detector: HarmlessRunDetector;
+  /** Whether it runs the whole request, not the rest of a stream. */
+  readonly isFromStart: boolean;
   /** Whether a retry was spent for it. */
   readonly usedRetry: boolean;
 }
@@ -113,6 +115,10 @@
       await host.partition.verify();
       return;
     }
+    if (incarnation !== undefined && (outcome.type === 'stopped' || outcome === SUPERSEDED)) {
+      const loss = { ranMs: detector.ranMs(), validMs: SILENT_LOSS_VALID_MS };
+      host.contentSuspicions.recordLoss(incarnation, job.contents, loss);
+    }
     if (outcome.type === 'stopped') return;
     sentCount += 1;
     if (outcome.type === 'not-run') {
@@ -122,11 +128,7 @@
     runServers.add(entry);
     if (outcome.type !== 'broken') return;
     if (outcome.isLost === true && incarnation !== undefined) {
-      // A part of many prompts has shown by now that it does no harm; the whole request only by its end.
-      const contents = detector.isHarmless()
-        ? job.contents.filter((content) => crashLimitOf(content).isWholeRequest)
-        : job.contents;
-      host.contentSuspicions.recordLoss(incarnation, contents, detector.ranMs());
+      host.contentSuspicions.recordLoss(incarnation, job.contents, { ranMs: detector.ranMs() });
     }
     void host.probes.ask(entry, 'lost_run');
     if (rule.isResumable) host.registry.backOff(entry, ENGINE_BACKOFF_MS);
@@ -140,6 +142,9 @@
     isRetrySpent = false;
     const eventsBefore = progress.events;
     const detector = createHarmlessRunDetector(host.now);
+    const isFromStart = eventsBefore === 0 && job.head.lastEventId === undefined;
+    /** Engines of the path of which one was lost; the others may be lost for the same reason. */
+    let countedPath: ReadonlySet<string> = new Set();
     const attempt: StreamAttempt = runStreamAttempt(host, {
       job,
       model: profile.model,
@@ -152,6 +157,12 @@
         const isNews = detector.recordEvents(next.events - eventsBefore);
         if (isNews) host.contentSuspicions.recordHarmlessRun(job.contents, detector.ranMs());
       },
+      onEngineLost: (id, path) => {
+        const lost = host.registry.find(id);
+        if (lost === undefined || countedPath.has(id)) return;
+        countedPath = new Set(path);
+        host.contentSuspicions.recordLoss(lost, job.contents, { ranMs: detector.ranMs() });
+      },
       onSpeak: () => {
         predecessor?.end(SUPERSEDED);
         if (successor?.outcome !== attempt.outcome) successor?.end({ type: 'overtaken' });
@@ -164,7 +175,7 @@
         else startSuccessor(chosen, attempt);
       },
     });
-    return { ...attempt, entry, stages, incarnation, detector, usedRetry };
+    return { ...attempt, entry, stages, incarnation, detector, isFromStart, usedRetry };
   };
   const startSuccessor = (chain: ReservedChain, predecessor: StreamAttempt): void => {
     const started = startAttempt(chain, predecessor);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -42,6 +42,8 @@
   readonly expectedEvents: number;
   readonly progress: StreamProgress;
   readonly onProgress: (progress: StreamProgress) => void;
+  /** Called for an engine after the first that seems to be lost, with all engines of the path. */
+  readonly onEngineLost: (id: string, path: readonly string[]) => void;
   /** Called before the attempt writes anything to the caller. */
   readonly onSpeak: () => void;
   /**
@@ -177,10 +179,8 @@
     }
     if (head.isLeaving) registry.recordLeaving(entry.id);
     if (isSuccess) {
-      if (!job.response.headersSent) {
-        options.onSpeak();
-        writeStreamHead(job.response, protocol, status, reply.headers);
-      }
+      if (!job.response.headersSent) options.onSpeak();
+      writeStreamHead(job.response, protocol, status, reply.headers);
       readStreamEvents(reply, { isOver: () => isOver, onEvents: deliver, onEnd: endAttempt });
       return;
     }
@@ -237,6 +237,7 @@
       if (isProbeDue && !isOver) void chain.probe();
     },
     onServerSuspected: (id: string) => {
+      if (id !== entry.id && chain.includes(id)) options.onEngineLost(id, chain.engines());
       if (chain.includes(id)) void chain.repair(new Set([id]), 'engine lost');
     },
     onServerLeaving: (id: string) => {
--- a/src/adapters/gateway/serveCall.ts
+++ b/src/adapters/gateway/serveCall.ts
@@ -8,6 +8,7 @@
 
 import type { ServerReply } from './callServer';
 import type { PeerRecord } from '../../peers/peer';
+import { SILENT_LOSS_VALID_MS } from '../../gateway/contentSuspicions';
 import type { CallEnd } from '../../gateway/chooseCallRefusal';
 import { chooseCallRefusal } from '../../gateway/chooseCallRefusal';
 import { computeServiceQuietTime } from '../../gateway/computeServiceQuietTime';
@@ -99,6 +100,11 @@
       takeNext: mayMove ? takeNext : undefined,
       isPeerAtHand: () => findPeer() !== undefined,
     });
+    const isUnanswered = outcome.type === 'unknown' && !outcome.isLost;
+    if (outcome.type === 'stopped' || isUnanswered) {
+      const loss = { validMs: SILENT_LOSS_VALID_MS };
+      host.contentSuspicions.recordLoss(server, job.contents, loss);
+    }
     next = movedTo;
     hasRetry = movedTo !== undefined || (hasRetry && outcome.type === 'unreached');
     if (outcome.type === 'stopped') return;
--- a/src/adapters/gateway/serveStream.ts
+++ b/src/adapters/gateway/serveStream.ts
@@ -85,7 +85,8 @@
     if (outcome.type === 'stopped') return;
     lastOutcome = outcome;
     if (outcome.type === 'complete') {
-      if (outcome.isFramed) host.contentSuspicions.recordHarmlessRun(job.contents);
+      const ranMs = running.isFromStart ? undefined : running.detector.ranMs();
+      if (outcome.isFramed) host.contentSuspicions.recordHarmlessRun(job.contents, ranMs);
       job.response.end();
       return;
     }
--- a/src/gateway/contentSuspicions.ts
+++ b/src/gateway/contentSuspicions.ts
@@ -9,6 +9,19 @@
   readonly bornMs: number;
 }
 
+/** Time within which the loss of a connection and the end of its server belong together, milliseconds. */
+export const LOSS_VALID_MS = 3_000;
+
+/** The same for a run without an answer: a silent server leaves the list only after some heartbeats. */
+export const SILENT_LOSS_VALID_MS = 6_000;
+
+export interface Loss {
+  /** Time for which the run lasted, milliseconds. */
+  readonly ranMs?: number;
+  /** Time for which an end of the server belongs to the run, milliseconds. */
+  readonly validMs?: number;
+}
+
 export interface ContentSuspicions {
   /** Records a request that has arrived, whether or not it is refused. */
   readonly recordArrival: (contents: readonly string[]) => void;
@@ -16,15 +29,11 @@
   readonly heldMs: (contents: readonly string[]) => number;
   /** Whether such a request is refused, or runs on trial and should be sent to one server only. */
   readonly isSuspect: (contents: readonly string[]) => boolean;
-  /**
-   * Records a run whose connection the server lost.
-   *
-   * @param ranMs time for which it had run, milliseconds
-   */
+  /** Records a run that the server lost, or left without an answer; it counts if the server ends. */
   readonly recordLoss: (
     server: ServerIncarnation,
     contents: readonly string[],
-    ranMs?: number,
+    loss?: Loss,
   ) => void;
   /**
    * Records that a request with these contents has run without ending its server.
--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -33,7 +33,7 @@
       suspicions.recordHarmlessRun([`request:${content}`], ranMs);
     },
     recordLossAfter: (server: ListedServer, content: string, ranMs: number) => {
-      suspicions.recordLoss(server, [`request:${content}`], ranMs);
+      suspicions.recordLoss(server, [`request:${content}`], { ranMs });
     },
     recordLoss: (server: ListedServer, content: string) => {
       suspicions.recordLoss(server, [`request:${content}`]);
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -1,9 +1,9 @@
 /**
  * Keeps which contents may be the cause of crashes, from this VM's own runs and from the other VMs' reports,
- * and says which requests are refused. A run counts against its contents if its connection was lost before it
- * had shown that they do no harm, and its server has ended. A content that runs without a crash is cleared of
- * those before: one that ends servers ends each server that begins to run it. It may do so some time after the begin,
- * so a whole request is cleared only by a run that is complete or has lasted clearly longer.
+ * and says which requests are refused. A run counts against its contents if it was lost, or left without an answer, and
+ * its server has ended. A content that runs without a crash is cleared of those before: one that ends servers ends each
+ * server that begins to run it. It may do so some time after the begin, so only a run that is complete or has lasted
+ * clearly longer clears it.
  */
 
 import { Map as ImmutableMap } from 'immutable';
@@ -12,6 +12,7 @@
 import { choosePrimeSuspect } from '../crashes/choosePrimeSuspect';
 import { crashLimitOf } from '../crashes/crashLimitOf';
 import type { ContentReport, ContentTally } from '../crashes/contentTally';
+import { LOSS_VALID_MS } from './contentSuspicions';
 import type { ContentSuspicions, ServerIncarnation } from './contentSuspicions';
 import type { Culprits } from '../crashes/findCulprits';
 import { findCulprits } from '../crashes/findCulprits';
@@ -32,9 +33,6 @@
   readonly count: (counter: string, label?: string) => void;
 }
 
-/** Time within which a loss and the end of its server belong together, milliseconds. */
-const LOSS_VALID_MS = 3_000;
-
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
@@ -65,7 +63,8 @@
 interface Loss {
   readonly server: string;
   readonly contents: readonly string[];
-  readonly atMs: number;
+  /** Time until which an end of the server belongs to the loss, milliseconds. */
+  readonly untilMs: number;
   readonly ranMs: number;
 }
 
@@ -171,7 +170,7 @@
     const disproved = tally.crashes === 1 ? [] : (known?.disproved ?? []);
     store(content, { ...tally, disproved });
   };
-  const attributeAll = ({ server, contents, ranMs }: Omit<Loss, 'atMs'>): void => {
+  const attributeAll = ({ server, contents, ranMs }: Omit<Loss, 'untilMs'>): void => {
     log('content suspected', { contents: contents.join(' '), server, ranMs: Math.round(ranMs) });
     for (const content of contents) attribute(server, content, ranMs);
   };
@@ -200,7 +199,7 @@
     endedMs.set(server, now());
     const own = losses.filter((loss) => loss.server === server);
     losses = losses.filter((loss) => loss.server !== server);
-    for (const loss of own) if (isRecent(loss.atMs, LOSS_VALID_MS)) attributeAll(loss);
+    for (const loss of own) if (now() < loss.untilMs) attributeAll(loss);
     if (own.length > 0) updateCulprits();
   });
   registry.onAnswer((incarnation) => {
@@ -217,14 +216,15 @@
     heldMs: (contents) =>
       Math.max(0, ...culprits.map((group) => getHeldUntilMs(group, contents) - now())),
     isSuspect: (contents) => culprits.some((group) => isInGroup(group, contents)),
-    recordLoss: (incarnation, contents, ranMs = 0) => {
+    recordLoss: (incarnation, contents, { ranMs = 0, validMs = LOSS_VALID_MS } = {}) => {
       const server = formatIncarnation(incarnation);
       if (isRecent(endedMs.get(server), LOSS_VALID_MS)) {
         attributeAll({ server, contents, ranMs });
         updateCulprits();
       } else {
-        const recent = losses.filter(({ atMs }) => isRecent(atMs, LOSS_VALID_MS));
-        losses = [...recent.slice(1 - MAX_LOSSES), { server, contents, ranMs, atMs: now() }];
+        const valid = losses.filter(({ untilMs }) => now() < untilMs);
+        const loss = { server, contents, ranMs, untilMs: now() + validMs };
+        losses = [...valid.slice(1 - MAX_LOSSES), loss];
       }
     },
     recordHarmlessRun: (contents, ranMs = Number.POSITIVE_INFINITY) => {
--- a/src/gateway/createHarmlessRuns.test.ts
+++ b/src/gateway/createHarmlessRuns.test.ts
@@ -33,10 +33,12 @@
     expect(runs.disproves('request:x', 'a')).toBe(true);
   });
 
-  it('clears a part by any run', () => {
+  it('clears a part as it clears a request', () => {
     const runs = createRuns();
     runs.recordCrash('part:x', 'a', 1_000);
     runs.record(['part:x'], 500);
+    expect(runs.disproves('part:x', 'a')).toBe(false);
+    runs.record(['part:x'], 2_000);
     expect(runs.disproves('part:x', 'a')).toBe(true);
   });
 
--- a/src/gateway/createHarmlessRuns.ts
+++ b/src/gateway/createHarmlessRuns.ts
@@ -1,11 +1,10 @@
 /**
  * Tells which crashes a content did not cause, from runs that did no harm shortly before. A content that ends servers
- * may do so some time after it has begun. A whole request is therefore cleared only by a run that is complete or has
- * lasted clearly longer than the run before the crash. A part is in many requests, so any run without harm clears it.
+ * may do so some time after it has begun. It is therefore cleared only by a run that is complete or has lasted clearly
+ * longer than the run before the crash.
  */
 
 import { LRUCache } from 'lru-cache';
-import { crashLimitOf } from '../crashes/crashLimitOf';
 
 export interface HarmlessRuns {
   /**
@@ -23,7 +22,7 @@
 /** Time for which a harmless run clears its content of crashes that are learned of later, milliseconds. */
 const VALID_MS = 2_000;
 
-/** How much longer than the run before a crash another one must last to clear a whole request. */
+/** How much longer than the run before a crash another one must last to clear a content. */
 const LONGER_FACTOR = 1.5;
 const LONGER_MS = 500;
 
@@ -56,7 +55,6 @@
     disproves: (content, server) => {
       const run = getRecent(content);
       if (run === undefined) return false;
-      if (!crashLimitOf(content).isWholeRequest) return true;
       const ranMs = ranBeforeMs.get(formatRun(content, server)) ?? Number.POSITIVE_INFINITY;
       return run.ranMs >= ranMs * LONGER_FACTOR + LONGER_MS;
     },
--- a/src/gateway/createServerRegistry.ts
+++ b/src/gateway/createServerRegistry.ts
@@ -13,7 +13,8 @@
 import type { RequestLimits } from './createRequestLimits';
 import { createServerLoads } from './createServerLoads';
 import { createServerNotices } from './createServerNotices';
-import { createSuspicions } from './createSuspicions';
+import { createSuspicions, TIMEOUT_REASONS } from './createSuspicions';
+import { listSilentlyGone } from './listSilentlyGone';
 import type { SuspicionReason } from './createSuspicions';
 import type { LogFields } from './job';
 import type { ServerRegistry } from './serverRegistry';
@@ -38,9 +39,6 @@
 
 const noop = (): void => undefined;
 
-/** Reasons that rest on a timeout of this process. */
-const TIMEOUT_REASONS: ReadonlySet<SuspicionReason> = new Set(['silent', 'unreached']);
-
 /** Reasons that tell of the end of an incarnation, unless it answers again. */
 const END_REASONS: ReadonlySet<SuspicionReason> = new Set(['refused', 'restarted']);
 
@@ -71,6 +69,9 @@
   const notifyChange = (): void => {
     for (const listener of changeListeners) listener();
   };
+  const notifyEnd = (server: ListedServer): void => {
+    for (const listener of endListeners) listener(server);
+  };
   const isInBackOff = (id: string): boolean =>
     (backOffUntilMs.get(id) ?? 0) > now() || notices.quietMs(id) > 0;
   const isUsable = ({ id, isDraining }: ListedServer): boolean =>
@@ -120,6 +121,7 @@
   const list = (servers: readonly ListedServer[]): void => {
     const next = new Map(servers.map((server) => [server.id, notices.applyTo(server)]));
     const leaving = listLeaving(next);
+    listSilentlyGone(suspicions.list(), listed, next).forEach(notifyEnd);
     for (const server of servers) logLayerChange(server);
     suspicions.retain(next);
     for (const id of backOffUntilMs.keys()) if (!next.has(id)) backOffUntilMs.delete(id);
@@ -182,7 +184,7 @@
         count('suspicions_held_back', reason);
         return;
       }
-      if (END_REASONS.has(reason)) for (const listener of endListeners) listener(server);
+      if (END_REASONS.has(reason)) notifyEnd(server);
       if (!suspicions.raise(server, reason, detail)) return;
       for (const listener of suspicionListeners) listener(id);
     },
--- a/src/gateway/createSuspicions.ts
+++ b/src/gateway/createSuspicions.ts
@@ -8,6 +8,9 @@
  */
 export type SuspicionReason = 'silent' | 'refused' | 'restarted' | 'unreached';
 
+/** Reasons that rest on a timeout of this process. */
+export const TIMEOUT_REASONS: ReadonlySet<SuspicionReason> = new Set(['silent', 'unreached']);
+
 /** A server that is suspected to have failed, until it answers or restarts. */
 export interface ServerSuspicion {
   readonly id: string;
