--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -14,6 +14,7 @@
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
 import { createJob } from './createJob';
+import { createMemoryBudget } from '../../gateway/createMemoryBudget';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { ELSEWHERE } from './openPeerExchange';
@@ -56,6 +57,9 @@
 /** Delay before a retry where no VM accepts callers, for instance while the store is unreachable. */
 const NO_PEER_RETRY_MS = 1_500;
 
+/** Most bytes of the bodies of all requests; what they cost is several times that while they are sent. */
+const MAX_BODY_MEMORY_BYTES = 32 * 1024 * 1024;
+
 type JobHandler = (host: GatewayHost, job: Job) => Promise<void>;
 
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
@@ -64,6 +68,7 @@
   const history = createCallHistory(host.now);
   const queue = createAdmissionQueue(host.now);
   const retryDetector = createRetryDetector();
+  const bodyMemory = createMemoryBudget(MAX_BODY_MEMORY_BYTES);
   host.registry.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
@@ -114,8 +119,11 @@
       refuse(request, response, 'no-credential');
       return;
     }
-    const read = await readRequestBody(request, currentCatalog.limits.maxBodyBytes);
+    const memory = bodyMemory.open();
+    response.once('close', memory.release);
+    const read = await readRequestBody(request, currentCatalog.limits.maxBodyBytes, memory);
     if (read.type === 'too-large') refuse(request, response, 'too-large', { isLast: true });
+    if (read.type === 'no-memory') refuse(request, response, 'not-run', retryOptions);
     if (read.type !== 'whole') return;
     const service = pickService(rule, head.id);
     const profile = currentCatalog.services.get(service ?? '');
