--- a/src/adapters/gateway/createTableRelay.ts
+++ b/src/adapters/gateway/createTableRelay.ts
@@ -88,8 +88,8 @@
     publish: (table, published) => {
       tables.set(table, published);
       for (const request of [...holdTimers.keys()]) {
-        const isAnswerable = !published.isOffered || hasChanges(request);
-        if (request.table === table && isAnswerable) respond(request);
+        if (request.table !== table) continue;
+        if (!published.isOffered || hasChanges(request)) respond(request);
       }
     },
     handle: (request, response) => {
