Let contents that can't be told apart wait until a stream can be complete

Since parts are cleared by complete runs only, the wait has to be longer than a stream: 10 s.

Two expectations named the 3 s and name the 10 s now; a new unit test failed with 3 s.

--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -263,18 +263,28 @@
 
     it('refuses the likeliest part while the others show whether they do harm', () => {
       const vm = createVmWithCrashes();
-      expect(vm.heldMsOf(requests.bad)).toBe(3_000);
+      expect(vm.heldMsOf(requests.bad)).toBe(10_000);
       expect([vm.heldMsOf(requests.sound), vm.heldMsOf(requests.beside)]).toEqual([0, 0]);
       vm.recordHarmlessRunOf(requests.beside);
-      expect(vm.heldMsOf(requests.bad)).toBeGreaterThan(3_000);
+      expect(vm.heldMsOf(requests.bad)).toBeGreaterThan(10_000);
     });
 
     it('lets all of them run again if none has shown it', () => {
       const vm = createVmWithCrashes();
-      vm.setTime(3_000);
+      vm.setTime(10_000);
       expect(vm.heldMsOf(requests.bad)).toBe(0);
     });
 
+    // A harmful request ran again before a sound stream beside it could be complete, and ended its server too.
+    it('refuses the likeliest part for as long as a stream takes to show that it does no harm', () => {
+      const vm = createVmWithCrashes();
+      vm.setTime(6_000);
+      expect(vm.heldMsOf(requests.bad)).toBeGreaterThan(0);
+      vm.recordHarmlessRunOf(requests.beside);
+      vm.setTime(10_000);
+      expect(vm.heldMsOf(requests.bad)).toBeGreaterThan(0);
+    });
+
     it('sends a request with the likeliest part to one server only', () => {
       const vm = createVmWithCrashes();
       expect([requests.bad, requests.beside].map(vm.isSuspect)).toEqual([true, false]);
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -36,8 +36,11 @@
 /** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
 const REPORT_INTERVAL_MS = 1_000;
 
-/** Time after a crash in which one of the contents that can't be told apart waits for the others to run. */
-const SEPARATION_MS = 3_000;
+/**
+ * Time after a crash in which one of the contents that can't be told apart waits for the others to run, milliseconds.
+ * Only complete runs tell them apart, and streams last for some seconds.
+ */
+const SEPARATION_MS = 10_000;
 
 /** Longest time for which a content is refused that nearly all requests hold: little else is served meanwhile. */
 const WIDESPREAD_HOLD_MS = 5_000;
