Bound the memory, the work and the time of request bodies that are received

Callers saw their requests refused, or no answer at all, beside a crowd: eight bodies of 4 MB that stopped short of their end held all memory for bodies until their callers left, also where the announced length was far over the limit, and 40 callers that sent one-byte chunks kept the process busy for as long as they sent.

Cause: the memory had no owner that could be made to give way, a body had no deadline, and the runtime reads each connection on by itself, so the work of a body was bounded by its size only. Ruled out: the heap (peaks of 174 to 262 MB come from copies outside of it) and refused bodies that are read on.

Now stalled bodies, then the largest of the caller that holds most, are refused as not run where memory runs out; a length over the limit is refused at once; a body must be complete within its request's deadline; connections wait for their turn after 512 pieces. The answer to a refused body is sent before its connection closes. Memory follows from the size of the VM.

A single body of 4 MB and one of 100,000 chunks are served as before.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -13,12 +13,12 @@
 import { decodeForwardedRequest, FORWARDED_HEADER } from '../../gateway/forwardedRequest';
 import { createCallHistory } from '../../gateway/createCallHistory';
 import { createAdmissionQueue } from './createAdmissionQueue';
-import { createJob } from './createJob';
-import { createMemoryBudget } from '../../gateway/createMemoryBudget';
+import { computeTimeLimit, createJob } from './createJob';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
 import { ELSEWHERE } from './openPeerExchange';
-import { readRequestBody } from './readRequestBody';
+import type { BodyBound, BodyIntake } from '../intake/createBodyIntake';
+import { refuseRequest } from '../intake/refuseRequest';
 import { refuseJob } from './refuseJob';
 import type { RefusalOptions, RefusalReason } from './refuseJob';
 import { serveCall } from './serveCall';
@@ -39,6 +39,7 @@
 
 export interface GatewayOptions {
   readonly host: GatewayHost;
+  readonly intake: BodyIntake;
   /** Undefined before the first catalog is known. */
   readonly catalog: () => Catalog | undefined;
   /** Whether the catalog was confirmed recently as the current one. */
@@ -57,18 +58,22 @@
 /** Delay before a retry where no VM accepts callers, for instance while the store is unreachable. */
 const NO_PEER_RETRY_MS = 1_500;
 
-/** Most bytes of the bodies of all requests; what they cost is several times that while they are sent. */
-const MAX_BODY_MEMORY_BYTES = 32 * 1024 * 1024;
+/** Refusals of bodies that have met a bound. */
+const BODY_REFUSALS: Readonly<Record<BodyBound, RefusalReason>> = {
+  'too-large': 'too-large',
+  'too-slow': 'too-slow',
+  'no-memory': 'not-run',
+  'too-many-pieces': 'not-run',
+};
 
 type JobHandler = (host: GatewayHost, job: Job) => Promise<void>;
 
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
 export function createGateway(options: GatewayOptions): Gateway {
-  const { host, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
+  const { host, intake, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
   const history = createCallHistory(host.now);
   const queue = createAdmissionQueue(host.now);
   const retryDetector = createRetryDetector();
-  const bodyMemory = createMemoryBudget(MAX_BODY_MEMORY_BYTES);
   host.registry.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
@@ -81,13 +86,14 @@
     request: IncomingMessage,
     response: ServerResponse,
     reason: RefusalReason,
-    refusal: RefusalOptions = {},
+    refusal: RefusalOptions & { readonly bound?: BodyBound } = {},
   ): void => {
-    const { id } = host.protocol.readRequest(request.headers);
+    const { protocol } = host;
+    const { id } = protocol.readRequest(request.headers);
+    const { bound, ...options } = refusal;
     host.count('refusals', reason);
-    host.log('request refused', { id, reason, path: request.url });
-    request.resume();
-    refuseJob(response, reason, host.protocol, refusal);
+    host.log('request refused', { id, reason, bound, path: request.url });
+    refuseRequest(request, response, { ...options, reason, protocol });
   };
 
   const serve = async (
@@ -119,11 +125,21 @@
       refuse(request, response, 'no-credential');
       return;
     }
-    const memory = bodyMemory.open();
-    response.once('close', memory.release);
-    const read = await readRequestBody(request, currentCatalog.limits.maxBodyBytes, memory);
-    if (read.type === 'too-large') refuse(request, response, 'too-large', { isLast: true });
-    if (read.type === 'no-memory') refuse(request, response, 'not-run', retryOptions);
+    response.once('close', () => {
+      intake.release(request);
+    });
+    const { maxBodyBytes: maxBytes, idleTimeoutMs: maxPauseMs } = currentCatalog.limits;
+    const workspace = access.credential?.workspace;
+    const read = await intake.receive(request, {
+      maxBytes,
+      maxPauseMs,
+      source: `${workspace ?? ''} ${request.socket.remoteAddress ?? ''}`,
+      expiresInMs: computeTimeLimit(head.deadlineMs, rule),
+    });
+    if (read.type === 'refused') {
+      host.count('refused_bodies', read.bound);
+      refuse(request, response, BODY_REFUSALS[read.bound], { ...retryOptions, bound: read.bound });
+    }
     if (read.type !== 'whole') return;
     const service = pickService(rule, head.id);
     const profile = currentCatalog.services.get(service ?? '');
@@ -131,7 +147,6 @@
       refuse(request, response, 'not-run', { retryAfterMs: PEER_RETRY_MS });
       return;
     }
-    const workspace = access.credential?.workspace;
     const { body } = read;
     const { version: catalogVersion } = currentCatalog;
     if (isClosing()) {
@@ -181,6 +196,11 @@
 
   const giveUp = (response: ServerResponse, job: Job | undefined): void => {
     if (response.writableEnded || response.destroyed) return;
+    if (job === undefined && response.headersSent) {
+      // Refused already; only its connection is still open.
+      response.destroy();
+      return;
+    }
     const reason = job?.wasSent() === true ? 'unknown-outcome' : 'not-run';
     host.count('refusals', reason);
     host.log('request given up', { id: job?.head.id, reason, hasBegun: response.headersSent });
--- a/src/adapters/gateway/createJob.ts
+++ b/src/adapters/gateway/createJob.ts
@@ -32,6 +32,14 @@
 /** Length of a content's fingerprint: short, as VMs exchange it, and too long to be met by chance. */
 const CONTENT_CHARS = 24;
 
+/** @returns the time that a request may take, milliseconds */
+export function computeTimeLimit(
+  deadlineMs: number | undefined,
+  { timeoutMs }: Pick<RouteRule, 'timeoutMs'>,
+): number {
+  return Math.min(deadlineMs ?? DEFAULT_DEADLINE_MS, timeoutMs);
+}
+
 export function createJob(accepted: AcceptedRequest): Job {
   const { request, response, head, rule, profile, workspace, arrivedMs, body } = accepted;
   const { method = 'GET', url = '/', headers } = request;
@@ -41,7 +49,7 @@
     CONTENT_CHARS,
   );
   const { sharedParts } = head;
-  const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, rule.timeoutMs);
+  const limitMs = computeTimeLimit(head.deadlineMs, rule);
   let isSent = false;
   let isClosed = false;
   const closeListeners: (() => void)[] = [];
--- a/src/adapters/gateway/refuseJob.ts
+++ b/src/adapters/gateway/refuseJob.ts
@@ -15,9 +15,10 @@
   | 'no-route'
   | 'no-credential'
   | 'too-large'
+  | 'too-slow'
   | 'malformed';
 
-/** 503 guarantees that the request has not run and will not; 502 and 504 guarantee nothing. */
+/** 408 and 503 guarantee that the request has not run and will not; 502 and 504 guarantee nothing. */
 const STATUS: Readonly<Record<RefusalReason, number>> = {
   'not-run': 503,
   'held-back': 503,
@@ -28,6 +29,7 @@
   'no-route': 404,
   'no-credential': 401,
   'too-large': 413,
+  'too-slow': 408,
   malformed: 400,
 };
 
@@ -35,6 +37,8 @@
   readonly retryAfterMs?: number | undefined;
   /** Closes the connection, so that it carries no other request. */
   readonly isLast?: boolean;
+  /** Sends the whole refusal but does not end the response; the caller of the function does. */
+  readonly keepsOpen?: boolean;
 }
 
 /**
@@ -54,7 +58,7 @@
     response.destroy();
     return;
   }
-  const { retryAfterMs, isLast = false } = options;
+  const { retryAfterMs, isLast = false, keepsOpen = false } = options;
   const body = JSON.stringify({ error: reason });
   response.writeHead(STATUS[reason], {
     ...protocol.refusalHeaders(retryAfterMs),
@@ -62,5 +66,6 @@
     'content-length': Buffer.byteLength(body),
     ...(isLast ? { connection: 'close' } : {}),
   });
-  response.end(body);
+  if (keepsOpen) response.write(body);
+  else response.end(body);
 }
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -14,6 +14,10 @@
     region: z.string(),
     /** Processor time that the VM may use, cores. */
     cores: z.number().positive(),
+    /** Memory that the process may use, MB; bounds what callers may take of it. */
+    memory_mb: z.number().positive().optional(),
+    /** Descriptors that the process may open; bounds the connections of callers. */
+    max_descriptors: z.number().int().positive().optional(),
   }),
   listen: z.object({
     callers: address,
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -35,7 +35,9 @@
 import type { GatewayPlatform } from './gatewayPlatform';
 import { listen } from './listen';
 import { openAuxiliaryListeners } from './openAuxiliaryListeners';
+import { openIntake } from './openIntake';
 import { openGatewayLog } from './openGatewayLog';
+import { reloadSettings } from './reloadSettings';
 import { startFleetWork } from './startFleetWork';
 import type { GatewaySettings } from './gatewaySettings';
 
@@ -196,8 +198,10 @@
     count,
     observe,
   };
+  const intake = openIntake({ vm: settings.vm, metrics, now });
   const gateway = createGateway({
     host,
+    intake: intake.bodies,
     catalog: catalogFollower.current,
     isConfirmed: catalogFollower.isConfirmed,
     isClosing,
@@ -275,12 +279,7 @@
 
   return {
     reload: (read) => {
-      try {
-        settings = read();
-        writeLog('settings reloaded', {});
-      } catch (error) {
-        writeLog('settings not readable', { error: String(error) });
-      }
+      settings = reloadSettings(settings, read, writeLog);
     },
     drain: () => {
       draining ??= drain();
