Close the connection that waits longest where callers take all descriptors

A caller saw no answer while 320 others kept connections open on which they had sent nothing, half a head or half a body: the process had no descriptor left to accept it, nor for servers. Connections are now bounded by the VM's descriptors and memory; beyond the bound the one that has gone longest without a complete request is closed, never one whose request is served.

platform/crowds: the three tests with 160 descriptors failed before (no answer, all descriptors taken) and pass now.

--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -254,6 +254,7 @@
     validMs: () => Math.min(ADDRESS_VALID_MS, settings.directory.max_validity_s * MS_PER_SECOND),
     onListenFailure: onFailure,
   });
+  intake.limitServers({ callers: callerServer, peers: tableServer, auxiliary: auxiliaryServers });
 
   const drain = (): Promise<void> => {
     stoppingSinceMs = now();
