Refuse requests that can be read in two ways

What this change mends was found beside it:

- A field that may stand once, sent twice, reached servers joined: a request with 'X-Request-Id: r1' and 'r2' ran under the id 'r1, r2', which no client sent, and four times, as no reply matched it.
- 'Transfer-Encoding: gzip, chunked' reached servers as an unencoded body.

Ruled out: targets, methods, lengths, pipelined requests, which were passed on or refused right.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -18,6 +18,7 @@
 import type { GatewayHost, Job } from '../../gateway/job';
 import { ELSEWHERE } from './openPeerExchange';
 import type { BodyBound, BodyIntake } from '../intake/createBodyIntake';
+import { isAmbiguous } from '../intake/isAmbiguous';
 import { refuseRequest } from '../intake/refuseRequest';
 import { refuseJob } from './refuseJob';
 import type { RefusalOptions, RefusalReason } from './refuseJob';
@@ -102,6 +103,10 @@
     forwarded?: ForwardedRequest,
   ): Promise<void> => {
     const arrivedMs = host.now();
+    if (isAmbiguous(request, host.protocol.singleFields)) {
+      refuse(request, response, 'malformed', { isLast: true });
+      return;
+    }
     const retryAfterMs = hasPeers() ? PEER_RETRY_MS : NO_PEER_RETRY_MS;
     const retryOptions = { retryAfterMs, isLast: true };
     if (isDraining()) response.setHeader('connection', 'close');
--- a/src/gateway/backendProtocol.ts
+++ b/src/gateway/backendProtocol.ts
@@ -116,6 +116,8 @@
   | { readonly type: 'silent' };
 
 export interface BackendProtocol {
+  /** Names, in lower case, of the fields of a request that may stand once. */
+  readonly singleFields: ReadonlySet<string>;
   readonly readRequest: (headers: IncomingHttpHeaders) => RequestHead;
   readonly forwardHeaders: (
     headers: IncomingHttpHeaders,
