Forward all fields of a head

Node.js drops the fields of a request beyond 2,000 without an error, so a server ran a request without the rest of them (changedRequests.test.ts, which failed before). Their number is no longer bounded; the size of the head is.

--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -4,7 +4,7 @@
  * backend servers.
  */
 
-import { createServer } from 'node:http';
+import { createCallerServer } from '../adapters/intake/createCallerServer';
 import { createGateway } from '../adapters/gateway/createGateway';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
@@ -59,9 +59,6 @@
 /** Most addresses in an address answer. */
 const MAX_ADDRESSES = 64;
 
-/** Idle timeout of callers' connections until the catalog sets another, milliseconds. */
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-
 /** Time between two runs of the periodic task, which checks placement and suspected servers, milliseconds. */
 const TASK_INTERVAL_MS = 250;
 
@@ -237,13 +234,13 @@
     lag.tick();
     shedding.check();
   }, LAG_INTERVAL_MS);
-  const callerServer = createServer({ keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }, gateway.handle);
+  const callerServer = createCallerServer(gateway.handle);
   const idleConnections = trackIdleConnections(callerServer);
   const onFailure = (error: string): void => {
     writeLog('listener failed', { error });
   };
   listen(callerServer, settings.listen.callers, { onFailure });
-  const tableServer = createServer(dispatchPeerRequest(gateway, followContext.relay));
+  const tableServer = createCallerServer(dispatchPeerRequest(gateway, followContext.relay));
   listen(tableServer, settings.listen.tables, { onFailure });
   const auxiliaryServers = openAuxiliaryListeners({
     listen: settings.listen,
