Close the connection of a body that a listener does not read

A request with an endless body to the addresses for readiness, the directory and metrics was answered and then read on for as long as its caller sent. openAuxiliaryListeners.test.ts failed before (the connection stayed open for its 5 s) and passes now.

--- a/src/node/openAuxiliaryListeners.ts
+++ b/src/node/openAuxiliaryListeners.ts
@@ -25,6 +25,9 @@
   const { readiness, directory, metrics: metricsAddress } = options.listen;
   const respond = (request: IncomingMessage, response: ServerResponse): void => {
     const path = request.url ?? '/';
+    const { 'content-length': length, 'transfer-encoding': coding } = request.headers;
+    // Node.js reads a body to its end, however long, on a connection that stays open.
+    if (length !== undefined || coding !== undefined) response.setHeader('connection', 'close');
     const query = platform.readAddressQuery(path);
     if (query !== undefined) {
       const addresses = addressesFor(query.failureDomain);
