Keep room at engines for more urgent streams where priorities compete

Now a stream of a lower rank may fill an engine only up to 7 in 100 less for each rank, and start only where first events are expected earlier; four of ten compete as the most urgent do, so that none starves. All VMs decide alike by the loads that they exchange anyway. Services whose streams all have one priority are served as before.

--- a/src/adapters/gateway/describeChainSearch.ts
+++ b/src/adapters/gateway/describeChainSearch.ts
@@ -3,6 +3,8 @@
 import { computeCrossDomainCost } from '../../chains/computeCrossDomainCost';
 import type { ChainSearch } from '../../chains/findChain';
 import type { PipelineModel } from '../../chains/pipelineModel';
+import type { AdmissionBounds } from '../../admission/computeAdmissionBounds';
+import { computeAdmissionBounds } from '../../admission/computeAdmissionBounds';
 import type { GatewayHost, Job } from '../../gateway/job';
 
 export interface StreamChainSearch {
@@ -42,6 +44,14 @@
       : Number.POSITIVE_INFINITY,
     excluded,
     entries,
-    ...(hasBegun ? {} : { maxFirstEventDelayMs: job.rule.targetMs * MAX_FIRST_EVENT_TARGETS }),
+    ...(hasBegun ? {} : computeBounds(job)),
   };
 }
+
+/** Bounds of a request that has not begun; one that has may take what there is. */
+function computeBounds({ head, rule, priority, profile }: Job): Partial<AdmissionBounds> {
+  const { targetMs } = rule;
+  return profile.contention === undefined
+    ? { maxFirstEventDelayMs: targetMs * MAX_FIRST_EVENT_TARGETS }
+    : computeAdmissionBounds({ id: head.id, priority, targetMs }, profile.contention);
+}
--- a/src/adapters/gateway/finishStream.ts
+++ b/src/adapters/gateway/finishStream.ts
@@ -47,8 +47,10 @@
   const quietMs = computeServiceQuietTime(host.registry, job.profile.name);
   const { tokens } = estimateStreamSize(job);
   host.count('refusals', reason);
+  host.count('streams_given_up', `priority ${job.priority}`);
   host.log('stream given up', {
     id: job.head.id,
+    priority: job.priority,
     reason,
     cause: outcome?.type ?? 'no chain',
     limit: end.limit,
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -3,6 +3,7 @@
  * the workspaces. A catalog is immutable; a newer version replaces it completely.
  */
 
+import type { Contention } from '../admission/contention';
 import type { PipelineModel } from '../chains/pipelineModel';
 
 /** How an answer is sent: in one piece or as a stream of events. */
@@ -47,6 +48,8 @@
   readonly model: PipelineModel | undefined;
   /** Path at which each server of the service states whether it is healthy. */
   readonly healthPath: string | undefined;
+  /** Set if streams of different priorities compete for its engines. */
+  readonly contention?: Contention | undefined;
 }
 
 export interface WorkspaceCredential {
--- a/src/chains/explainShortage.test.ts
+++ b/src/chains/explainShortage.test.ts
@@ -27,5 +27,9 @@
       'links',
     );
     expect(explainShortage({ ...search, engines: [first] })).toBe('layers');
+    const crowded = createChainEngine('a', 0, 4, { reserved: first.capacity * 0.8 });
+    expect(explainShortage({ ...search, engines: [crowded, second], maxShare: 0.7 })).toBe(
+      'kept room',
+    );
   });
 });
--- a/src/chains/explainShortage.ts
+++ b/src/chains/explainShortage.ts
@@ -3,8 +3,8 @@
 import { findChain } from './findChain';
 import type { ChainSearch } from './findChain';
 
-/** `layers` if no path exists whatever its load. */
-export type ChainShortage = 'first event delay' | 'links' | 'memory' | 'layers';
+/** `kept room` if only more urgent requests may take what is left; `layers` if no path exists whatever its load. */
+export type ChainShortage = 'kept room' | 'first event delay' | 'links' | 'memory' | 'layers';
 
 type Relaxation = Partial<ChainSearch>;
 
@@ -17,7 +17,8 @@
 
 /** @param search a search that found no path */
 export function explainShortage(search: ChainSearch): ChainShortage {
-  let relaxed = search;
+  let relaxed: ChainSearch = { ...search, maxShare: 1 };
+  if ((search.maxShare ?? 1) < 1 && findChain(relaxed) !== undefined) return 'kept room';
   for (const [shortage, relaxation] of RELAXATIONS) {
     relaxed = { ...relaxed, ...relaxation };
     if (findChain(relaxed) !== undefined) return shortage;
--- a/src/chains/findChain.ts
+++ b/src/chains/findChain.ts
@@ -33,6 +33,8 @@
   readonly isEntry: boolean;
   /** Maximum first-event delay of the engine at which the path starts, milliseconds. */
   readonly maxFirstEventDelayMs?: number;
+  /** Share of an engine's memory and places that may be taken. */
+  readonly maxShare?: number;
   /** Maximum number of stages. */
   readonly maxStages?: number;
 }
@@ -127,7 +129,7 @@
     for (const to of boundaries) {
       if (to <= position) continue;
       if (to > end) break;
-      const stepMs = computeStepCost(engine, to - position, search.tokens, extension.slowestMs);
+      const stepMs = computeStepCost(engine, to - position, search, extension.slowestMs);
       if (stepMs === undefined) break;
       const costMs = state.costMs + STAGE_MS + hopCostMs + stepMs;
       if (!Number.isFinite(costMs)) break;
@@ -143,11 +145,11 @@
 /** Whether a path may start at the engine. */
 function canStartAt(
   engine: ChainEngine,
-  { entries, maxFirstEventDelayMs = Infinity }: ChainSearch,
+  { entries, maxFirstEventDelayMs = Infinity, maxShare = FULL_SHARE }: ChainSearch,
 ): boolean {
   return (
     engine.acceptsRequests &&
-    engine.entered < engine.slots &&
+    engine.entered < engine.slots * maxShare &&
     engine.firstEventDelayMs <= maxFirstEventDelayMs &&
     (entries?.has(engine.id) ?? true)
   );
@@ -168,11 +170,11 @@
 function computeStepCost(
   engine: ChainEngine,
   layers: number,
-  tokens: number,
+  { tokens, maxShare = FULL_SHARE }: Pick<ChainSearch, 'tokens' | 'maxShare'>,
   slowestMs: number,
 ): number | undefined {
   const share = (engine.reserved + layers * tokens) / engine.capacity;
-  if (share > FULL_SHARE) return undefined;
+  if (share > maxShare) return undefined;
   const crowdedMs = slowestMs * CROWDED_FACTOR * Math.max(0, share - CROWDED_SHARE) ** 2;
   return layers * (engine.layerStepMs * (1 + LOAD_FACTOR * share * share) + crowdedMs);
 }
