--- a/src/node/gatewaySettings.test.ts
+++ b/src/node/gatewaySettings.test.ts
@@ -46,4 +46,23 @@
       /store\.address.*credentials\.revoke_ms.*retries\.window_s/,
     );
   });
+
+  it.each([
+    ['as numbers', '250', '4100', 250, 4100],
+    ['as texts', '"250"', '"4100"', 250, 4100],
+    // A template that is rendered without the values leaves empty texts.
+    ['empty', '""', '""', undefined, undefined],
+  ])('reads the size of the VM %s', (_, memory, descriptors, memoryMb, maxDescriptors) => {
+    const sized = valid.replace(
+      'cores = 0.675',
+      `cores = 0.675\nmemory_mb = ${memory}\nmax_descriptors = ${descriptors}`,
+    );
+    const { vm } = parseGatewaySettings(sized);
+    expect([vm.memory_mb, vm.max_descriptors]).toEqual([memoryMb, maxDescriptors]);
+  });
+
+  it.each(['0', '-1', '"many"'])('rejects a size of %s, and names it', (value) => {
+    const wrong = valid.replace('cores = 0.675', `cores = 0.675\nmemory_mb = ${value}`);
+    expect(() => parseGatewaySettings(wrong)).toThrow(/vm\.memory_mb/);
+  });
 });
--- a/src/node/gatewaySettings.ts
+++ b/src/node/gatewaySettings.ts
@@ -7,6 +7,13 @@
 const address = z.string().refine(isSocketAddress, 'must be IP:PORT');
 const duration = z.number().nonnegative();
 
+/** A positive number, also as a text; an empty text, as a template without the value gives it, states none. */
+const optionalSize = z
+  .union([z.number(), z.string().regex(/^\d*(\.\d+)?$/, 'must be a number')])
+  .transform((value) => (value === '' ? undefined : Number(value)))
+  .pipe(z.number().positive().optional())
+  .optional();
+
 const schema = z.object({
   vm: z.object({
     name: z.string().min(1),
@@ -15,9 +22,9 @@
     /** Processor time that the VM may use, cores. */
     cores: z.number().positive(),
     /** Memory that the process may use, MB; bounds what callers may take of it. */
-    memory_mb: z.number().positive().optional(),
+    memory_mb: optionalSize,
     /** Descriptors that the process may open; bounds the connections of callers. */
-    max_descriptors: z.number().int().positive().optional(),
+    max_descriptors: optionalSize,
   }),
   listen: z.object({
     callers: address,
