Measure how long requests wait for the processor before they are read

Callers saw answers seconds after the time-outs of their routes; the log of the VM knew five expired requests in 12 s where hundreds were late. Nothing measured the time before a request is read.

The lateness of a timer gives the wait for the event loop. A connection to the own listener, opened while there is work all the time, gives the wait of new connections, of which the runtime accepts one in each run of the loop. Both are logged once a second where they matter, kept in metrics, and stand in 'request expired'. No decision uses them yet.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -51,6 +51,8 @@
   readonly hasPeers: () => boolean;
   /** Whether connections close after their next answer. */
   readonly isDraining: () => boolean;
+  /** Estimated time that a request which is read now has waited for the processor, milliseconds. */
+  readonly readDelayMs?: (request: IncomingMessage) => number;
 }
 
 /** Delay after which the caller may retry at another VM. */
@@ -72,6 +74,7 @@
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { host, intake, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
+  const { readDelayMs = () => 0 } = options;
   const history = createCallHistory(host.now);
   const queue = createAdmissionQueue(host.now);
   const retryDetector = createRetryDetector();
@@ -103,6 +106,8 @@
     forwarded?: ForwardedRequest,
   ): Promise<void> => {
     const arrivedMs = host.now();
+    const delayMs = readDelayMs(request);
+    host.observe('read_delay', delayMs);
     if (isAmbiguous(request, host.protocol.singleFields)) {
       refuse(request, response, 'malformed', { isLast: true });
       return;
@@ -158,7 +163,10 @@
       refuse(request, response, 'not-run', retryOptions);
       return;
     }
-    const accepted = { request, response, rule, profile, workspace, arrivedMs, body };
+    const accepted = {
+      ...{ request, response, rule, profile, workspace, body },
+      ...{ arrivedMs, readDelayMs: delayMs },
+    };
     const job = createJob({
       ...accepted,
       head,
@@ -193,6 +201,7 @@
     host.log('request expired', {
       id: job.head.id,
       tookMs: Math.round(host.now() - job.arrivedMs),
+      readDelayMs: Math.round(job.readDelayMs),
       hasBegun: job.response.headersSent,
     });
     refuseJob(job.response, job.wasSent() ? 'expired' : 'expired-not-run', host.protocol);
--- a/src/adapters/gateway/createJob.ts
+++ b/src/adapters/gateway/createJob.ts
@@ -17,6 +17,8 @@
   readonly workspace: string | undefined;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
+  /** Estimated time that the request waited for the processor before it was read, milliseconds. */
+  readonly readDelayMs: number;
   readonly body: Buffer | undefined;
   readonly catalogVersion: number;
   readonly forwarded: ForwardedRequest | undefined;
@@ -41,7 +43,8 @@
 }
 
 export function createJob(accepted: AcceptedRequest): Job {
-  const { request, response, head, rule, profile, workspace, arrivedMs, body } = accepted;
+  const { request, response, head, rule, profile, workspace, body } = accepted;
+  const { arrivedMs, readDelayMs } = accepted;
   const { method = 'GET', url = '/', headers } = request;
   const content = fingerprintContent([headers.host, method, url, workspace], body).slice(
     0,
@@ -71,6 +74,7 @@
     contents: listContents({ request: content, service: profile.name, sharedParts }),
     response,
     arrivedMs,
+    readDelayMs,
     forwarded: accepted.forwarded,
     catalogVersion: accepted.catalogVersion,
     isRetry: accepted.isRetry,
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -32,6 +32,8 @@
   readonly response: ServerResponse;
   /** Monotonic, milliseconds. */
   readonly arrivedMs: number;
+  /** Estimated time that the request waited for the processor before it was read, milliseconds. */
+  readonly readDelayMs: number;
   /** Set if another VM took the request from the caller. */
   readonly forwarded: ForwardedRequest | undefined;
   /** Version of the catalog by which the request was accepted. */
@@ -54,6 +56,9 @@
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Latencies that are counted in histograms. */
+export type Latency = 'first_event' | 'event_gap' | 'call' | 'read_delay';
+
 export interface GatewayHost {
   readonly protocol: BackendProtocol;
   readonly registry: ServerRegistry;
@@ -84,5 +89,5 @@
   readonly random: () => number;
   readonly log: (message: string, fields: LogFields) => void;
   readonly count: (counter: string, label?: string) => void;
-  readonly observe: (histogram: 'first_event' | 'event_gap' | 'call', ms: number) => void;
+  readonly observe: (histogram: Latency, ms: number) => void;
 }
--- a/src/node/createGatewayMetrics.ts
+++ b/src/node/createGatewayMetrics.ts
@@ -1,10 +1,11 @@
 /** Counters and latency histograms of a gateway, in the Prometheus text format. */
 
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { Latency } from '../gateway/job';
 
 export interface GatewayMetrics {
   readonly count: (counter: string, label?: string) => void;
-  readonly observe: (histogram: 'first_event' | 'event_gap' | 'call', ms: number) => void;
+  readonly observe: (histogram: Latency, ms: number) => void;
   readonly gauge: (name: string, help: string, read: () => number) => void;
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -23,6 +24,10 @@
     first_event: histogram('citronpass_first_event_ms', 'From a request to its first event.'),
     event_gap: histogram('citronpass_event_gap_ms', 'Between two events of a stream.'),
     call: histogram('citronpass_call_ms', 'From a call to its answer.'),
+    read_delay: histogram(
+      'citronpass_read_delay_ms',
+      'Estimated wait of a request for the processor before it is read.',
+    ),
   };
   const counters = new Map<string, Counter>();
   const openCounter = (name: string): Counter => {
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -15,8 +15,6 @@
 import { trackIdleConnections } from '../adapters/gateway/trackIdleConnections';
 import type { ClockReading } from '../catalog/confirmation';
 import { checkReportedServers } from '../gateway/checkReportedServers';
-import { createLagMonitor, LAG_INTERVAL_MS } from '../gateway/createLagMonitor';
-import { createLoadShedding } from '../gateway/createLoadShedding';
 import { createStartCheck } from '../gateway/createStartCheck';
 import { createStoreHealth } from '../gateway/createStoreHealth';
 import { createRetryBudgets } from '../gateway/createRetryBudgets';
@@ -29,6 +27,7 @@
 import { applyCallerLimits } from './applyCallerLimits';
 import { createBackendView } from './createBackendView';
 import { createGatewayMetrics } from './createGatewayMetrics';
+import { createLoadControl } from './createLoadControl';
 import { createOwnRecord } from './createOwnRecord';
 import { createFollowContext } from './createFollowContext';
 import { drainGateway } from './drainGateway';
@@ -81,7 +80,17 @@
   const metrics = createGatewayMetrics();
   const { count, observe } = metrics;
   const writeLog = openGatewayLog({ vm: settings.vm.name, metrics, now });
-  const lag = createLagMonitor(now);
+  const loadControl = createLoadControl({
+    metrics,
+    countPeers: () => ({
+      all: peers.size() - 1,
+      accepting: listReachingPeers().filter(({ vm }) => vm !== self.vm).length,
+    }),
+    now,
+    log: writeLog,
+    count,
+  });
+  const { lag, isShedding } = loadControl;
   const backend = createBackendView({
     vm: settings.vm.name,
     vms: () => peers.members(),
@@ -125,19 +134,9 @@
     limitMs: () => settings.credentials.revoke_ms * MAX_UNCONFIRMED_SHARE,
     startCheck,
   });
-  const shedding = createLoadShedding({
-    lag,
-    countPeers: () => ({
-      all: peers.size() - 1,
-      accepting: listReachingPeers().filter(({ vm }) => vm !== self.vm).length,
-    }),
-    now,
-    log: writeLog,
-    count,
-  });
   const isAccepting = (): boolean =>
     stoppingSinceMs === undefined &&
-    !shedding.isShedding() &&
+    !isShedding() &&
     catalogFollower.current() !== undefined &&
     catalogFollower.isConfirmed();
   const isClosing = (): boolean => now() - (stoppingSinceMs ?? Infinity) > REFUSAL_DELAY_MS;
@@ -204,6 +203,7 @@
     isClosing,
     isDraining: () => stoppingSinceMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
+    readDelayMs: loadControl.readDelayMs,
   });
   followServers({
     ...followContext.optionsFor(platform.serverTable, () => timings().serverWaitMs),
@@ -223,23 +223,20 @@
     listPlacers: listReachingPeers,
     isAccepting,
     isStopping: () => stoppingSinceMs !== undefined,
-    isShedding: shedding.isShedding,
+    isShedding,
     intervalMs: TASK_INTERVAL_MS,
     now,
     log: writeLog,
     count,
   });
 
-  const lagTimer = setInterval(() => {
-    lag.tick();
-    shedding.check();
-  }, LAG_INTERVAL_MS);
   const callerServer = createCallerServer(gateway.handle);
   const idleConnections = trackIdleConnections(callerServer);
   const onFailure = (error: string): void => {
     writeLog('listener failed', { error });
   };
   listen(callerServer, settings.listen.callers, { onFailure });
+  loadControl.start({ server: callerServer, address: settings.listen.callers });
   const tableServer = createCallerServer(dispatchPeerRequest(gateway, followContext.relay));
   listen(tableServer, settings.listen.tables, { onFailure });
   const auxiliaryServers = openAuxiliaryListeners({
@@ -264,7 +261,7 @@
       release: fleetWork.release,
       close: () => {
         fleetWork.stop();
-        clearInterval(lagTimer);
+        loadControl.stop();
         sharing.close();
         peers.close();
         for (const server of [callerServer, tableServer, ...auxiliaryServers]) server.close();
