Count the time-outs of requests from their arrival, and leave those whose callers left

Cause: a request's time began when it was read, and what waited longest was read first. While it waits, its caller leaves; the end of its connection is read one run of the event loop after the request, which by then is at a server.

A request's time now begins at its estimated arrival, it is read once more before it is sent on, and one past its time is refused as not run.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -16,6 +16,7 @@
 import { computeTimeLimit, createJob } from './createJob';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { hasCallerLeft } from '../overload/hasCallerLeft';
 import { ELSEWHERE } from './openPeerExchange';
 import type { BodyBound, BodyIntake } from '../intake/createBodyIntake';
 import { isAmbiguous } from '../intake/isAmbiguous';
@@ -105,8 +106,8 @@
     response: ServerResponse,
     forwarded?: ForwardedRequest,
   ): Promise<void> => {
-    const arrivedMs = host.now();
     const delayMs = readDelayMs(request);
+    const arrivedMs = host.now() - delayMs;
     host.observe('read_delay', delayMs);
     if (isAmbiguous(request, host.protocol.singleFields)) {
       refuse(request, response, 'malformed', { isLast: true });
@@ -151,6 +152,15 @@
       refuse(request, response, BODY_REFUSALS[read.bound], { ...retryOptions, bound: read.bound });
     }
     if (read.type !== 'whole') return;
+    if (await hasCallerLeft(request)) {
+      host.count('unserved', 'caller-left');
+      response.destroy();
+      return;
+    }
+    if (host.now() - arrivedMs >= computeTimeLimit(head.deadlineMs, rule)) {
+      refuse(request, response, 'expired-not-run', { isLast: true });
+      return;
+    }
     const service = pickService(rule, head.id);
     const profile = currentCatalog.services.get(service ?? '');
     if (profile === undefined) {
--- a/src/adapters/overload/createAcceptProbe.ts
+++ b/src/adapters/overload/createAcceptProbe.ts
@@ -20,28 +20,35 @@
   readonly address: string;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
+  /** Total time for which the event loop has had nothing to do, milliseconds. */
+  readonly idleMs: () => number;
 }
 
 interface RunningProbe {
   readonly socket: Socket;
   readonly sinceMs: number;
+  /** Total idle time of the event loop at its begin, milliseconds. */
+  readonly idleMs: number;
 }
 
 /** Time between two measurements, milliseconds. */
 const INTERVAL_MS = 250;
 
-/** Time after which a measurement says nothing of the present, milliseconds. */
-const VALID_MS = 1_000;
+/** Idle time from which no connection waits, milliseconds. */
+const MIN_IDLE_MS = 1;
 
-export function createAcceptProbe({ server, address, now }: AcceptProbeOptions): AcceptProbe {
+export function createAcceptProbe(options: AcceptProbeOptions): AcceptProbe {
+  const { server, address, now, idleMs } = options;
   const [host = '', port = ''] = address.split(':');
   let running: RunningProbe | undefined;
   let measuredMs = 0;
   let endedMs = Number.NEGATIVE_INFINITY;
+  let idleAtEndMs = 0;
   const end = (probe: RunningProbe): void => {
     if (running !== probe) return;
     running = undefined;
     endedMs = now();
+    idleAtEndMs = idleMs();
     measuredMs = endedMs - probe.sinceMs;
   };
   server.on('connection', (accepted: Socket) => {
@@ -52,11 +59,21 @@
     probe.socket.destroy();
     accepted.destroy();
   });
+  /** An event loop that has had nothing to do has accepted all connections, so the probe is not among them. */
+  const giveUpIfIdle = (): void => {
+    if (running === undefined || idleMs() - running.idleMs < MIN_IDLE_MS) return;
+    const { socket } = running;
+    running = undefined;
+    endedMs = now();
+    measuredMs = 0;
+    socket.destroy();
+  };
   return {
     measure: () => {
+      giveUpIfIdle();
       if (running !== undefined || now() - endedMs < INTERVAL_MS) return;
       const socket = connect({ host, port: Number(port) });
-      const probe = { socket, sinceMs: now() };
+      const probe = { socket, sinceMs: now(), idleMs: idleMs() };
       running = probe;
       socket.on('error', () => undefined);
       socket.once('close', () => {
@@ -65,8 +82,10 @@
       socket.unref();
     },
     delayMs: () => {
+      giveUpIfIdle();
       const runningMs = running === undefined ? 0 : now() - running.sinceMs;
-      return Math.max(runningMs, now() - endedMs < VALID_MS ? measuredMs : 0);
+      const hasIdled = idleMs() - idleAtEndMs >= MIN_IDLE_MS;
+      return Math.max(runningMs, hasIdled ? 0 : measuredMs);
     },
   };
 }
--- a/src/node/watchProcessor.ts
+++ b/src/node/watchProcessor.ts
@@ -49,11 +49,8 @@
 export function watchProcessor({ metrics, now, log }: ProcessorWatchOptions): ProcessorWatch {
   const { eventLoopUtilization } = performance;
   const lag = createLagMonitor(now);
-  const delay = createReadDelay({
-    intervalMs: LAG_INTERVAL_MS,
-    now,
-    idleMs: () => eventLoopUtilization().idle,
-  });
+  const idleMs = (): number => eventLoopUtilization().idle;
+  const delay = createReadDelay({ intervalMs: LAG_INTERVAL_MS, now, idleMs });
   /** Connections on which no request has been read. */
   const accepted = new WeakMap<Socket, AcceptedConnection>();
   let acceptDelayMs = (): number => 0;
@@ -105,7 +102,7 @@
       return delayMs;
     },
     start: ({ server, address, onMeasured }) => {
-      const probe = createAcceptProbe({ server, address, now });
+      const probe = createAcceptProbe({ server, address, now, idleMs });
       acceptDelayMs = probe.delayMs;
       server.on('connection', (socket: Socket) => {
         accepted.set(socket, delay.recordAccepted(probe.delayMs()));
--- a/src/overload/createReadDelay.test.ts
+++ b/src/overload/createReadDelay.test.ts
@@ -73,4 +73,15 @@
     idle(40);
     expect(estimateMs(connection)).toBe(0);
   });
+
+  it('takes a connection that is accepted after a stop for one that came meanwhile', () => {
+    const { tick, recordAccepted, idle, work, estimateMs } = start();
+    tick();
+    idle(4_100);
+    const first = recordAccepted(0);
+    tick();
+    const second = recordAccepted(0);
+    work(10);
+    expect([estimateMs(first), estimateMs(second)]).toEqual([2_010, 2_010]);
+  });
 });
--- a/src/overload/createReadDelay.ts
+++ b/src/overload/createReadDelay.ts
@@ -8,7 +8,13 @@
 export interface ReadDelay {
   /** Records that the timer has run; called every `intervalMs`. */
   readonly tick: () => void;
-  /** Records that a connection is accepted now, which has waited for it. */
+  /** Lateness of the last run of the timer, milliseconds. */
+  readonly lagMs: () => number;
+  /**
+   * Records that a connection is accepted now.
+   *
+   * @param acceptDelayMs time for which new connections wait, milliseconds; 0 if it is not measured
+   */
   readonly recordAccepted: (acceptDelayMs: number) => AcceptedConnection;
   /**
    * Estimated delay of a request that is read now, milliseconds.
@@ -60,7 +66,12 @@
       tickedMs = now();
       idleAtTickMs = idleMs();
     },
-    recordAccepted: (acceptDelayMs) => ({ acceptDelayMs, acceptedMs: now(), idleMs: idleMs() }),
+    lagMs: () => lagMs,
+    recordAccepted: (acceptDelayMs) => ({
+      acceptDelayMs: Math.max(acceptDelayMs, estimateLoopMs()),
+      acceptedMs: now(),
+      idleMs: idleMs(),
+    }),
     estimateMs: (connection) => {
       // After idle time, the request has come since the connection was accepted.
       if (connection === undefined || idleMs() - connection.idleMs >= MIN_IDLE_MS)
