Limit the requests that a VM serves while new ones wait for its processor

Cause: the runtime accepts one connection in each run of the event loop and handles all that open streams have sent in the same run. Nothing bounded the open streams, so they took the processor, and new connections waited in a queue that nobody measured.

The limit on open requests falls while new ones wait for over 100 ms and rises while they do not and some are refused; others are refused before they are looked at, with a time to come back. A VM that starts begins with a low limit. Without waits there is no limit, whatever the size of the VM.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -16,9 +16,11 @@
 import { computeTimeLimit, createJob } from './createJob';
 import { createRetryDetector } from '../../gateway/createRetryDetector';
 import type { GatewayHost, Job } from '../../gateway/job';
+import { createOverloadRefusal } from '../overload/createOverloadRefusal';
 import { hasCallerLeft } from '../overload/hasCallerLeft';
 import { ELSEWHERE } from './openPeerExchange';
 import type { BodyBound, BodyIntake } from '../intake/createBodyIntake';
+import type { WorkLimit } from '../../overload/createWorkLimit';
 import { isAmbiguous } from '../intake/isAmbiguous';
 import { refuseRequest } from '../intake/refuseRequest';
 import { refuseJob } from './refuseJob';
@@ -52,6 +54,8 @@
   readonly hasPeers: () => boolean;
   /** Whether connections close after their next answer. */
   readonly isDraining: () => boolean;
+  /** Decides whether a further request is served; without it, all are. */
+  readonly workLimit?: Pick<WorkLimit, 'admit' | 'release' | 'retryAfterMs'>;
   /** Estimated time that a request which is read now has waited for the processor, milliseconds. */
   readonly readDelayMs?: (request: IncomingMessage) => number;
 }
@@ -75,10 +79,11 @@
 /** Creates the gateway. The owner listens on a socket and passes requests to `handle`. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { host, intake, catalog, isConfirmed, isClosing, isDraining, hasPeers } = options;
-  const { readDelayMs = () => 0 } = options;
+  const { readDelayMs = () => 0, workLimit } = options;
   const history = createCallHistory(host.now);
   const queue = createAdmissionQueue(host.now);
   const retryDetector = createRetryDetector();
+  const refuseOverload = createOverloadRefusal(host);
   host.registry.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
@@ -115,7 +120,6 @@
     }
     const retryAfterMs = hasPeers() ? PEER_RETRY_MS : NO_PEER_RETRY_MS;
     const retryOptions = { retryAfterMs, isLast: true };
-    if (isDraining()) response.setHeader('connection', 'close');
     const currentCatalog = catalog();
     if (currentCatalog === undefined || isClosing()) {
       refuse(request, response, 'not-run', retryOptions);
@@ -241,6 +245,7 @@
     response.setMaxListeners(0);
     response.once('close', () => {
       open.delete(response);
+      workLimit?.release();
     });
     serve(request, response, forwarded).catch((error: unknown) => {
       host.log('request failed', {
@@ -250,6 +255,9 @@
       if (!response.writableEnded) refuseJob(response, 'unknown-outcome', host.protocol);
     });
   };
+  const closeIfDraining = (response: ServerResponse): void => {
+    if (isDraining()) response.setHeader('connection', 'close');
+  };
   /** Whether this VM can decide on a request that another VM has accepted. */
   const canServe = ({ catalogVersion }: ForwardedRequest): boolean =>
     !isClosing() &&
@@ -258,13 +266,17 @@
     (catalog()?.version ?? -1) >= catalogVersion;
   return {
     handle: (request, response) => {
-      handle(request, response);
+      closeIfDraining(response);
+      if (workLimit?.admit() === false) refuseOverload(request, response, workLimit.retryAfterMs());
+      else handle(request, response);
     },
     handleForwarded: (request, response) => {
       const { [FORWARDED_HEADER]: text, ...headers } = request.headers;
       const forwarded = decodeForwardedRequest(String(text));
       request.headers = headers;
-      if (forwarded !== undefined && canServe(forwarded)) handle(request, response, forwarded);
+      closeIfDraining(response);
+      const mayServe = forwarded !== undefined && canServe(forwarded);
+      if (mayServe && workLimit?.admit() !== false) handle(request, response, forwarded);
       else refuse(request, response, ELSEWHERE, { isLast: true });
     },
     active: () => open.size,
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -204,6 +204,7 @@
     isDraining: () => stoppingSinceMs !== undefined,
     hasPeers: () => peers.live().some(({ vm }) => vm !== self.vm),
     readDelayMs: loadControl.readDelayMs,
+    workLimit: loadControl.workLimit,
   });
   followServers({
     ...followContext.optionsFor(platform.serverTable, () => timings().serverWaitMs),
--- a/src/node/watchProcessor.ts
+++ b/src/node/watchProcessor.ts
@@ -27,8 +27,8 @@
   /** Server of callers, and the IP and port at which it listens. */
   readonly server: Server;
   readonly address: string;
-  /** Called after each measurement. */
-  readonly onMeasured: () => void;
+  /** Called after each measurement with the time that new requests wait, milliseconds. */
+  readonly onMeasured: (waitMs: number) => void;
 }
 
 export interface ProcessorWatchOptions {
@@ -112,7 +112,7 @@
         delay.tick();
         if (wasBusy()) probe.measure();
         if (now() - loggedMs >= LOG_INTERVAL_MS) measureSecond();
-        onMeasured();
+        onMeasured(Math.max(delay.lagMs(), probe.delayMs()));
       }, LAG_INTERVAL_MS);
     },
     stop: () => {
--- /dev/null
+++ b/src/overload/createWorkLimit.test.ts
@@ -0,0 +1,82 @@
+import { createWorkLimit } from './createWorkLimit';
+
+const MEASURE_MS = 100;
+
+function start() {
+  let nowMs = 0;
+  const logged: string[] = [];
+  const limit = createWorkLimit({
+    now: () => nowMs,
+    random: () => 0.5,
+    log: (message) => logged.push(message),
+    count: () => undefined,
+  });
+  const measure = (waitMs: number, times = 1): void => {
+    for (let time = 0; time < times; time += 1) {
+      nowMs += MEASURE_MS;
+      limit.measure(waitMs);
+    }
+  };
+  const admitAll = (requests: number): number =>
+    Array.from({ length: requests }, () => limit.admit()).filter(Boolean).length;
+  return { limit, logged, measure, admitAll };
+}
+
+describe('createWorkLimit', () => {
+  it('begins with few requests and takes more at once while none waits', () => {
+    const { measure, admitAll } = start();
+    expect(admitAll(20)).toBe(8);
+    measure(0, 3);
+    expect(admitAll(20)).toBe(5);
+  });
+
+  it('has no limit once none was refused for three seconds', () => {
+    const { limit, measure, admitAll, logged } = start();
+    measure(0, 30);
+    expect(limit.limit()).toBeUndefined();
+    expect(admitAll(500)).toBe(500);
+    expect(logged).toEqual([]);
+  });
+
+  it('takes fewer than are open while new requests wait, and more again when some are refused', () => {
+    const { limit, measure, admitAll, logged } = start();
+    measure(0, 30);
+    admitAll(50);
+    measure(150, 3);
+    expect(limit.limit()).toBe(40);
+    measure(150, 4);
+    expect(limit.limit()).toBe(32);
+    expect(admitAll(1)).toBe(0);
+    measure(20);
+    expect(limit.limit()).toBeCloseTo(32.89);
+    measure(20);
+    expect(limit.limit()).toBeCloseTo(32.89);
+    expect(logged).toEqual(['work limited']);
+  });
+
+  it('does not count a single late measurement', () => {
+    const { limit, measure, admitAll } = start();
+    measure(0, 30);
+    admitAll(50);
+    measure(900, 2);
+    measure(0);
+    measure(900, 2);
+    expect(limit.limit()).toBeUndefined();
+  });
+
+  it('serves some requests whatever makes them wait', () => {
+    const { measure, admitAll } = start();
+    measure(0, 30);
+    measure(2_000, 50);
+    expect(admitAll(10)).toBe(4);
+  });
+
+  it('sends callers back for longer the more are refused for each that is served', () => {
+    const { limit, admitAll } = start();
+    expect(limit.retryAfterMs()).toBe(250);
+    admitAll(24);
+    expect(limit.retryAfterMs()).toBe(2_000);
+    admitAll(1_000);
+    expect(limit.retryAfterMs()).toBe(4_000);
+  });
+});
--- /dev/null
+++ b/src/overload/createWorkLimit.ts
@@ -0,0 +1,138 @@
+/**
+ * Decides how many requests a VM serves at the same time where its processor can't bear all that it is asked. The load:
+ * several times the callers that a VM can serve, or all callers of a fleet at once after a joint start. What is open then
+ * takes the processor, new requests wait for it longer and longer, and each is served for a caller that has left. The
+ * limit follows the wait of new requests: it falls while they wait too long, and rises while they do not and some are
+ * refused. Without such a wait there is none. It asks for no size of the VM, which may change at any time.
+ */
+
+import type { LogFields } from '../gateway/job';
+
+export interface WorkLimit {
+  /** Whether a further request may be served; counts the decision. */
+  readonly admit: () => boolean;
+  /** Records that a request that was admitted has ended. */
+  readonly release: () => void;
+  /** Decides anew; called often. */
+  readonly measure: (waitMs: number) => void;
+  /** Requests that may be open; undefined where there is no limit. */
+  readonly limit: () => number | undefined;
+  /** Time after which a refused caller may come back, milliseconds. */
+  readonly retryAfterMs: () => number;
+}
+
+export interface WorkLimitOptions {
+  /** Monotonic clock, milliseconds. */
+  readonly now: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  readonly log: (message: string, fields: LogFields) => void;
+  readonly count: (counter: string, label?: string) => void;
+}
+
+/** Wait from which calls and events miss the tightest targets in use, 120 to 150 ms. */
+const MAX_WAIT_MS = 100;
+
+/** Measurements in a row that must show the wait: a collection of garbage or a large catalog takes one. */
+const LASTING_MEASUREMENTS = 3;
+
+/** Share of the open requests that the limit leaves, and the time until a change shows in the wait, milliseconds. */
+const CUT_SHARE = 0.8;
+const CUT_INTERVAL_MS = 400;
+
+/** Growth of the limit in a measurement while requests are refused: a share of it, and requests. */
+const GROWTH_SHARE = 0.02;
+const GROWTH = 0.25;
+
+/** Limit of a VM that has just started, and its growth in a measurement, until new requests wait for the first time. */
+const START_LIMIT = 8;
+const START_GROWTH_SHARE = 0.5;
+
+/** Fewest requests that are served at the same time; what makes a VM late may be other work, as at its start. */
+const MIN_LIMIT = 4;
+
+/** Time without a refusal after which there is no limit, milliseconds. */
+const LIFTED_AFTER_MS = 3_000;
+
+/** Bounds of the time after which callers come back, milliseconds; within the patience of interactive ones. */
+const MIN_RETRY_MS = 250;
+const MAX_RETRY_MS = 4_000;
+
+/** Time over which refused and admitted requests are compared, milliseconds. */
+const WINDOW_MS = 1_000;
+
+export function createWorkLimit({ now, random, log, count }: WorkLimitOptions): WorkLimit {
+  let open = 0;
+  let limit: number | undefined = START_LIMIT;
+  let isStarting = true;
+  let lateMeasurements = 0;
+  let cutMs = Number.NEGATIVE_INFINITY;
+  let refusedMs = now();
+  let hasRefused = false;
+  let windowBeganMs = now();
+  let window = { admitted: 0, refused: 0 };
+  let lastWindow = window;
+
+  const changeWindow = (): void => {
+    if (now() - windowBeganMs < WINDOW_MS) return;
+    windowBeganMs = now();
+    lastWindow = window;
+    window = { admitted: 0, refused: 0 };
+  };
+  const cut = (waitMs: number): void => {
+    if (now() - cutMs < CUT_INTERVAL_MS) return;
+    cutMs = now();
+    const wasLimited = limit !== undefined && !isStarting;
+    isStarting = false;
+    limit = Math.max(MIN_LIMIT, CUT_SHARE * Math.min(limit ?? Infinity, open));
+    if (wasLimited) return;
+    refusedMs = now();
+    count('work_limits', 'begun');
+    log('work limited', { limit: Math.round(limit), open, waitMs: Math.round(waitMs) });
+  };
+  const raise = (current: number): void => {
+    const share = isStarting ? START_GROWTH_SHARE : GROWTH_SHARE;
+    if (hasRefused) limit = current * (1 + share) + GROWTH;
+    if (now() - refusedMs < LIFTED_AFTER_MS) return;
+    limit = undefined;
+    if (isStarting) {
+      isStarting = false;
+      return;
+    }
+    count('work_limits', 'ended');
+    log('work not limited', { open });
+  };
+  return {
+    admit: () => {
+      changeWindow();
+      if (limit !== undefined && open >= Math.ceil(limit)) {
+        hasRefused = true;
+        refusedMs = now();
+        window = { ...window, refused: window.refused + 1 };
+        return false;
+      }
+      open += 1;
+      window = { ...window, admitted: window.admitted + 1 };
+      return true;
+    },
+    release: () => {
+      open -= 1;
+    },
+    measure: (waitMs) => {
+      changeWindow();
+      lateMeasurements = waitMs >= MAX_WAIT_MS ? lateMeasurements + 1 : 0;
+      if (lateMeasurements >= LASTING_MEASUREMENTS) cut(waitMs);
+      else if (lateMeasurements === 0 && limit !== undefined) raise(limit);
+      hasRefused = false;
+    },
+    limit: () => limit,
+    retryAfterMs: () => {
+      const admitted = lastWindow.admitted + window.admitted;
+      const refused = lastWindow.refused + window.refused;
+      const clearedInMs = (WINDOW_MS * refused) / Math.max(1, admitted);
+      const meanMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, clearedInMs));
+      // Callers that are refused together come back at different times.
+      return Math.round(meanMs * (0.5 + random()));
+    },
+  };
+}
