Look at the event loop less often, and at callers only where they have waited

Callers are looked for only after a wait of 5 ms, and the utilization comes from the idle time alone.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -66,6 +66,9 @@
 /** Delay before a retry where no VM accepts callers, for instance while the store is unreachable. */
 const NO_PEER_RETRY_MS = 1_500;
 
+/** Wait of a request from which its caller may have left meanwhile, milliseconds. */
+const MIN_LEAVING_MS = 5;
+
 /** Refusals of bodies that have met a bound. */
 const BODY_REFUSALS: Readonly<Record<BodyBound, RefusalReason>> = {
   'too-large': 'too-large',
@@ -156,7 +159,7 @@
       refuse(request, response, BODY_REFUSALS[read.bound], { ...retryOptions, bound: read.bound });
     }
     if (read.type !== 'whole') return;
-    if (await hasCallerLeft(request)) {
+    if (delayMs >= MIN_LEAVING_MS && (await hasCallerLeft(request))) {
       host.count('unserved', 'caller-left');
       response.destroy();
       return;
--- a/src/node/watchProcessor.ts
+++ b/src/node/watchProcessor.ts
@@ -47,9 +47,9 @@
 const BUSY_SHARE = 0.9;
 
 export function watchProcessor({ metrics, now, log }: ProcessorWatchOptions): ProcessorWatch {
-  const { eventLoopUtilization } = performance;
+  const { nodeTiming } = performance;
   const lag = createLagMonitor(now);
-  const idleMs = (): number => eventLoopUtilization().idle;
+  const idleMs = (): number => nodeTiming.idleTime;
   const delay = createReadDelay({ intervalMs: LAG_INTERVAL_MS, now, idleMs });
   /** Connections on which no request has been read. */
   const accepted = new WeakMap<Socket, AcceptedConnection>();
@@ -57,9 +57,20 @@
   let maxDelayMs = 0;
   let requests = 0;
   let loggedMs = now();
-  let lastTick = eventLoopUtilization();
-  let lastSecond = lastTick;
-  let { utilization } = lastTick;
+  /** Share of the time with work since the last call. */
+  const createMeter = (): (() => number) => {
+    let lastMs = now();
+    let lastIdleMs = idleMs();
+    return () => {
+      const share = 1 - (idleMs() - lastIdleMs) / Math.max(1, now() - lastMs);
+      lastMs = now();
+      lastIdleMs = idleMs();
+      return share;
+    };
+  };
+  const measureTick = createMeter();
+  const measureLogged = createMeter();
+  let utilization = 0;
   metrics.gauge(
     'event_loop_utilization',
     'Share of the last second in which the process had work.',
@@ -69,8 +80,7 @@
     acceptDelayMs(),
   );
   const measureSecond = (): void => {
-    const next = eventLoopUtilization();
-    ({ utilization } = eventLoopUtilization(next, lastSecond));
+    utilization = measureLogged();
     if (Math.max(maxDelayMs, acceptDelayMs()) >= LOGGED_DELAY_MS) {
       log('requests read late', {
         requests,
@@ -79,18 +89,10 @@
         utilization: Math.round(utilization * 100) / 100,
       });
     }
-    lastSecond = next;
     loggedMs = now();
     maxDelayMs = 0;
     requests = 0;
   };
-  /** Whether there was work almost all the time since the last call. */
-  const wasBusy = (): boolean => {
-    const next = eventLoopUtilization();
-    const { utilization: share } = eventLoopUtilization(next, lastTick);
-    lastTick = next;
-    return share >= BUSY_SHARE;
-  };
   let timer: NodeJS.Timeout | undefined;
   return {
     lag,
@@ -110,7 +112,7 @@
       timer = setInterval(() => {
         lag.tick();
         delay.tick();
-        if (wasBusy()) probe.measure();
+        if (measureTick() >= BUSY_SHARE) probe.measure();
         if (now() - loggedMs >= LOG_INTERVAL_MS) measureSecond();
         onMeasured(Math.max(delay.lagMs(), probe.delayMs()));
       }, LAG_INTERVAL_MS);
