Bound the memory of all replies of a VM together

A faulty server that sends without end to many requests at once took a VM's memory, and the requests of its other callers ended with the process.

Cause: each reply had its own bound, 8 MB, and the number of replies none; what a caller does not read was bounded by its stream alone, 32 MB.

Replies that are received, and what callers have not taken of them, share 8 % of the VM's memory; the incomplete reply that holds most gives way. Bodies, streams, reports, health checks, orders, answers of other VMs and of the store count. One expectation of openExchange.test.ts names the new field of a whole reply; it is as strict as before.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -117,11 +117,12 @@
     reply.destroy();
     return { type: 'unknown', detail: fault, isLost: false };
   }
-  const read = await readReplyBody(reply);
+  const read = await readReplyBody(reply, host.replyMemory);
   if (read.type === 'broken') {
     if (read.isOversized === true) host.count('oversized_replies');
     return { type: 'unknown', detail: read.detail, isLost: read.isOversized !== true };
   }
+  job.response.once('close', read.release);
   if (head.isLeaving) host.registry.recordLeaving(server.id);
   const headers = protocol.replyHeaders(reply.headers);
   const { body } = read;
--- a/src/adapters/gateway/createConnectionPool.ts
+++ b/src/adapters/gateway/createConnectionPool.ts
@@ -6,6 +6,7 @@
 import { Agent } from 'node:http';
 import { exchangeJson } from './exchangeJson';
 import type { JsonRequest, JsonResult } from './exchangeJson';
+import type { ReplyMemory } from '../../replies/createReplyMemory';
 
 export interface ConnectionPool {
   /** Sends one request on an idle connection, or on a new one. */
@@ -15,13 +16,18 @@
 export interface ConnectionPoolOptions {
   /** Most idle connections that are kept. */
   readonly maxIdle?: number;
+  /** Memory of all replies of the VM. */
+  readonly memory?: ReplyMemory | undefined;
 }
 
 const createAgent = (maxIdle: number): Agent =>
   new Agent({ keepAlive: true, maxFreeSockets: maxIdle });
 
 /** Creates a pool without connections. */
-export function createConnectionPool({ maxIdle = 4 }: ConnectionPoolOptions = {}): ConnectionPool {
+export function createConnectionPool({
+  maxIdle = 4,
+  memory,
+}: ConnectionPoolOptions = {}): ConnectionPool {
   let agent = createAgent(maxIdle);
   const renew = (): void => {
     // Calls that are still running keep their connections until they end.
@@ -34,7 +40,7 @@
   return {
     exchange: async (request) => {
       const used = agent;
-      const result = await exchangeJson({ ...request, agent: used });
+      const result = await exchangeJson({ memory, ...request, agent: used });
       if (result.type === 'silent' && used === agent) renew();
       return result;
     },
--- a/src/adapters/gateway/createRelayedStore.ts
+++ b/src/adapters/gateway/createRelayedStore.ts
@@ -11,9 +11,12 @@
 import type { TableRead, WatchedStore } from '../../contracts/watchedStore';
 import type { LogFields } from '../../gateway/job';
 import type { PeerRecord } from '../../peers/peer';
+import type { ReplyMemory } from '../../replies/createReplyMemory';
 import { createConnectionPool } from './createConnectionPool';
 
 export interface RelayedStoreOptions {
+  /** Memory of all replies of the VM. */
+  readonly replyMemory?: ReplyMemory;
   readonly store: WatchedStore;
   /** Name of this VM. */
   readonly vm: string;
@@ -49,7 +52,7 @@
 
 export function createRelayedStore(options: RelayedStoreOptions): WatchedStore {
   const { store, vm, relays, isFollowedByAllRelays, now, log } = options;
-  const { exchange } = createConnectionPool();
+  const { exchange } = createConnectionPool({ memory: options.replyMemory });
   const backOffUntilMs = new Map<string, number>();
   /** By table. */
   const followedVms = new Map<string, string | undefined>();
--- a/src/adapters/gateway/endlessReplies.test.ts
+++ b/src/adapters/gateway/endlessReplies.test.ts
@@ -4,6 +4,7 @@
 import { exchangeJson } from './exchangeJson';
 import type { JsonResult } from './exchangeJson';
 import { openExchange } from './openExchange';
+import { createReplyMemory } from '../../replies/createReplyMemory';
 import { readReplyBody } from './readReplyBody';
 import { startFloodServer } from './startFloodServer';
 import type { Flood, FloodServer } from './startFloodServer';
@@ -62,9 +63,11 @@
       { address, method: 'POST', path: '/', headers: {}, body: Buffer.from('hello') },
       {
         onReply: (reply) => {
-          void readReplyBody(reply).then(({ type }) => {
-            resolve({ type, isSent: true });
-          });
+          void readReplyBody(reply, createReplyMemory({ maxBytes: 100_000_000 })).then(
+            ({ type }) => {
+              resolve({ type, isSent: true });
+            },
+          );
         },
         onFailure: ({ isSent }) => {
           resolve({ type: 'failed', isSent });
--- a/src/adapters/gateway/exchangeJson.ts
+++ b/src/adapters/gateway/exchangeJson.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { createByteBudget } from '../../gateway/createByteBudget';
 import { createByteBuffer } from '../../gateway/createByteBuffer';
+import type { ReplyMemory } from '../../replies/createReplyMemory';
 import { limitReplyHead } from './limitReplyHead';
 
 export interface JsonRequest {
@@ -14,6 +15,8 @@
   readonly timeoutMs: number;
   /** Largest body of an answer. */
   readonly maxBytes?: number;
+  /** Memory of all replies of the VM; without it, the reply counts for itself. */
+  readonly memory?: ReplyMemory | undefined;
   /** Reuses connections between calls; without it, each call opens its own. */
   readonly agent?: Agent;
 }
@@ -41,7 +44,7 @@
 /** Resolves with the result; a body that is not JSON is undefined. */
 export function exchangeJson(options: JsonRequest): Promise<JsonResult> {
   const { address, method, path, body, timeoutMs, agent = ownConnection } = options;
-  const { maxBytes = DEFAULT_MAX_BYTES } = options;
+  const { maxBytes = DEFAULT_MAX_BYTES, memory } = options;
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
     const outgoing = sendRequest({
@@ -74,6 +77,11 @@
       const status = reply.statusCode ?? 0;
       const budget = createByteBudget(maxBytes);
       const content = createByteBuffer();
+      const hold = memory?.open(() => {
+        fail('no memory');
+        outgoing.destroy();
+      });
+      outgoing.once('close', () => hold?.release());
       reply.on('error', failWith);
       if (status < FIRST_FINAL_STATUS) {
         fail(`status ${status}`);
@@ -81,12 +89,13 @@
         return;
       }
       reply.on('data', (chunk: Buffer) => {
-        if (budget.trySpend(chunk.length)) {
-          content.append(chunk);
+        if (!budget.trySpend(chunk.length)) {
+          fail('body too large');
+          outgoing.destroy();
           return;
         }
-        fail('body too large');
-        outgoing.destroy();
+        hold?.keep(content.length() + chunk.length);
+        if (!outgoing.destroyed) content.append(chunk);
       });
       reply.on('close', () => {
         fail('closed');
--- a/src/adapters/gateway/forwardCall.ts
+++ b/src/adapters/gateway/forwardCall.ts
@@ -18,7 +18,7 @@
       { ...request, lastEventId: job.head.lastEventId },
       {
         onReply: (reply) => {
-          void readPeerReply(host, reply).then((read) => {
+          void readPeerReply(host, job, reply).then((read) => {
             resolve(toOutcome(read));
           });
         },
--- a/src/adapters/gateway/forwardStream.ts
+++ b/src/adapters/gateway/forwardStream.ts
@@ -39,7 +39,7 @@
       const status = reply.statusCode ?? 0;
       const head = host.protocol.readReply(status, reply.headers);
       if (!head.isSealed || status < OK || status >= FIRST_REDIRECT) {
-        void readPeerReply(host, reply).then(end);
+        void readPeerReply(host, job, reply).then(end);
         return;
       }
       if (!continuesStream(job.response, status, reply.headers)) {
@@ -55,6 +55,7 @@
           for (const { id } of news) progress = recordEvent(progress, id, host.now());
           onProgress(progress);
           job.response.write(Buffer.concat(news.map(({ bytes }) => bytes)));
+          host.countUnsent(job.response);
         },
         onEnd: end,
       });
--- a/src/adapters/gateway/openExchange.test.ts
+++ b/src/adapters/gateway/openExchange.test.ts
@@ -2,8 +2,13 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { IncomingMessage } from 'node:http';
 import { openExchange } from './openExchange';
+import { createReplyMemory } from '../../replies/createReplyMemory';
 import { readReplyBody } from './readReplyBody';
 
+const memory = createReplyMemory({ maxBytes: 100_000_000 });
+
+const read = (reply: IncomingMessage) => readReplyBody(reply, memory);
+
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 
 let server: Server;
@@ -38,8 +43,12 @@
     const address = await listen((socket) => {
       socket.once('data', () => socket.end(`${HEAD}whole`));
     });
-    const body = await readReplyBody(await sendRequest(address));
-    expect(body).toEqual({ type: 'whole', body: Buffer.from('whole') });
+    const body = await read(await sendRequest(address));
+    expect(body).toEqual({
+      type: 'whole',
+      body: Buffer.from('whole'),
+      release: expect.any(Function) as unknown,
+    });
   });
 
   it('never accepts a reply without a length as complete after a reset', async () => {
@@ -50,7 +59,7 @@
       socket.once('data', () => socket.write(`${HEAD}par`));
     });
     const reply = await sendRequest(address);
-    const body = readReplyBody(reply);
+    const body = read(reply);
     await new Promise((resolve) => reply.once('data', resolve));
     peer?.resetAndDestroy();
     expect((await body).type).toBe('broken');
@@ -64,7 +73,7 @@
         socket.resetAndDestroy();
       });
     });
-    const result = await sendRequest(address).then(readReplyBody, () => ({ type: 'broken' }));
+    const result = await sendRequest(address).then(read, () => ({ type: 'broken' }));
     expect(result.type).toBe('broken');
   });
 
--- a/src/adapters/gateway/openPeerExchange.ts
+++ b/src/adapters/gateway/openPeerExchange.ts
@@ -56,12 +56,17 @@
 }
 
 /** Reads a reply that is no stream of events. Own refusals of the VM carry no server's signature. */
-export async function readPeerReply(host: GatewayHost, reply: IncomingMessage): Promise<PeerReply> {
+export async function readPeerReply(
+  host: GatewayHost,
+  { response }: Pick<Job, 'response'>,
+  reply: IncomingMessage,
+): Promise<PeerReply> {
   const status = reply.statusCode ?? 0;
   const { isSealed } = host.protocol.readReply(status, reply.headers);
-  const read = await readReplyBody(reply);
+  const read = await readReplyBody(reply, host.replyMemory);
   if (read.type === 'broken') return { type: 'broken', detail: read.detail };
   const { body } = read;
+  response.once('close', read.release);
   if (!isSealed && isElsewhere(status, body)) {
     return { type: 'unreached', detail: `status ${status}` };
   }
--- a/src/adapters/gateway/readReplyBody.ts
+++ b/src/adapters/gateway/readReplyBody.ts
@@ -3,9 +3,15 @@
 import type { IncomingMessage } from 'node:http';
 import { createByteBudget } from '../../gateway/createByteBudget';
 import { createByteBuffer } from '../../gateway/createByteBuffer';
+import type { ReplyMemory } from '../../replies/createReplyMemory';
 
 export type ReplyBody =
-  | { readonly type: 'whole'; readonly body: Buffer }
+  | {
+      readonly type: 'whole';
+      readonly body: Buffer;
+      /** Gives back the memory of the body, once the caller has it. */
+      readonly release: () => void;
+    }
   | { readonly type: 'broken'; readonly detail: string; readonly isOversized?: boolean };
 
 /** Largest reply that is buffered; far larger than the answers of plain services. */
@@ -13,26 +19,42 @@
 
 /**
  * @param reply the reply, nothing of it read yet
+ * @param memory memory of all replies
  * @returns the body, or why it is not complete
  */
-export function readReplyBody(reply: IncomingMessage): Promise<ReplyBody> {
+export function readReplyBody(reply: IncomingMessage, memory: ReplyMemory): Promise<ReplyBody> {
   return new Promise((resolve) => {
     const budget = createByteBudget(MAX_REPLY_BYTES);
     const content = createByteBuffer();
+    const endOversized = (detail: string): void => {
+      hold.release();
+      resolve({ type: 'broken', detail, isOversized: true });
+      reply.destroy();
+    };
+    const hold = memory.open(() => {
+      endOversized('no memory');
+    });
     const fail = (detail: string): void => {
+      if (!isWhole) hold.release();
       resolve({ type: 'broken', detail });
     };
+    let isWhole = false;
     reply.on('data', (chunk: Buffer) => {
-      if (budget.trySpend(chunk.length)) {
-        content.append(chunk);
+      if (!budget.trySpend(chunk.length)) {
+        endOversized('body too large');
         return;
       }
-      resolve({ type: 'broken', detail: 'body too large', isOversized: true });
-      reply.destroy();
+      hold.keep(content.length() + chunk.length);
+      if (!reply.destroyed) content.append(chunk);
     });
     reply.on('end', () => {
-      if (reply.complete) resolve({ type: 'whole', body: content.bytes() });
-      else fail('ended early');
+      if (!reply.complete) {
+        fail('ended early');
+        return;
+      }
+      isWhole = true;
+      hold.complete();
+      resolve({ type: 'whole', body: content.bytes(), release: hold.release });
     });
     reply.on('error', (error) => {
       fail(error.message);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -153,6 +153,7 @@
     registry.recordPassage(chain.engines());
     options.onProgress(progress);
     job.response.write(Buffer.concat(newEvents.map(({ bytes }) => bytes)));
+    host.countUnsent(job.response);
   };
   const receiveReply = (reply: IncomingMessage): void => {
     const status = reply.statusCode ?? 0;
@@ -184,16 +185,15 @@
       readStreamEvents(reply, { isOver: () => isOver, onEvents: deliver, onEnd: endAttempt });
       return;
     }
-    void readReplyBody(reply).then((read) => {
-      if (read.type === 'broken') endAttempt(read);
-      else {
-        const headers = protocol.replyHeaders(reply.headers);
-        const { body } = read;
-        endAttempt({
-          type: 'answered',
-          reply: { status, headers, body, isFramed: isFramed(reply) },
-        });
+    void readReplyBody(reply, host.replyMemory).then((read) => {
+      if (read.type === 'broken') {
+        endAttempt(read);
+        return;
       }
+      job.response.once('close', read.release);
+      const headers = protocol.replyHeaders(reply.headers);
+      const answer = { status, headers, body: read.body, isFramed: isFramed(reply) };
+      endAttempt({ type: 'answered', reply: answer });
     });
   };
 
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -13,6 +13,7 @@
 import type { ServerProbes } from './createServerProbes';
 import type { SilenceAlarms } from '../evidence/createSilenceAlarms';
 import type { StreamWatch } from './streamWatch';
+import type { ReplyMemory } from '../replies/createReplyMemory';
 
 export interface Job {
   readonly head: RequestHead;
@@ -72,6 +73,10 @@
   readonly firstEventDelays: FirstEventDelays;
   /** Tells whether the silence of a stream is a reason to ask its engines. */
   readonly silenceAlarms: SilenceAlarms;
+  /** Memory of all replies of backend servers and other VMs. */
+  readonly replyMemory: ReplyMemory;
+  /** Counts what a response keeps for a caller that reads slowly; called after each write. */
+  readonly countUnsent: (response: ServerResponse) => void;
   /** Name of this VM. */
   readonly vm: string;
   readonly failureDomain: string;
--- a/src/node/gatewayPlatform.ts
+++ b/src/node/gatewayPlatform.ts
@@ -4,11 +4,14 @@
 import type { ListedServer } from '../chains/layerEngine';
 import type { StoreRow, WatchedStore } from '../contracts/watchedStore';
 import type { BackendProtocol } from '../gateway/backendProtocol';
+import type { ReplyMemory } from '../replies/createReplyMemory';
 
 /** Provided by an adapter: the store, the protocol of the backend servers, and decoders of the tables. */
 export interface GatewayPlatform {
   readonly store: WatchedStore;
   readonly protocol: BackendProtocol;
+  /** Memory of all replies, which the store and the protocol share with the gateway. */
+  readonly replyMemory: ReplyMemory;
   readonly catalogTable: string;
   readonly serverTable: string;
   readonly ownTable: string;
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -6,6 +6,7 @@
 
 import { createCallerServer } from '../adapters/intake/createCallerServer';
 import { createGateway } from '../adapters/gateway/createGateway';
+import { createUnsentCount } from '../adapters/gateway/createUnsentCount';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { dispatchPeerRequest } from '../adapters/gateway/dispatchPeerRequest';
@@ -36,6 +37,7 @@
 import { openAuxiliaryListeners } from './openAuxiliaryListeners';
 import { openIntake } from './openIntake';
 import { openGatewayLog } from './openGatewayLog';
+import { readRetryLimits } from './readRetryLimits';
 import { reloadSettings } from './reloadSettings';
 import { startFleetWork } from './startFleetWork';
 import type { GatewaySettings } from './gatewaySettings';
@@ -75,10 +77,11 @@
 /** Starts the gateway's listeners and follows the store. */
 export function startGateway(initial: GatewaySettings, platform: GatewayPlatform): GatewayDaemon {
   let settings = initial;
-  const { store, protocol } = platform;
+  const { store, protocol, replyMemory } = platform;
   const now = (): number => performance.now();
   const metrics = createGatewayMetrics();
   const { count, observe } = metrics;
+  metrics.gauge('reply_memory_bytes', 'Memory that replies hold.', replyMemory.heldBytes);
   const writeLog = openGatewayLog({ vm: settings.vm.name, metrics, now });
   const loadControl = createLoadControl({
     metrics,
@@ -113,6 +116,7 @@
   const timings = (): LongPollTimings => chooseLongPollTimings(peers.size());
   const followContext = createFollowContext({
     store,
+    replyMemory,
     vm: self.vm,
     relays: () => peers.relays(),
     // Its age decides whether requests are taken.
@@ -171,12 +175,10 @@
   const host: GatewayHost = {
     ...backend,
     protocol,
+    replyMemory,
+    countUnsent: createUnsentCount(replyMemory),
     retryBudgets: createRetryBudgets({
-      limits: () => ({
-        ratio: settings.retries.ratio,
-        extra: settings.retries.extra,
-        windowMs: settings.retries.window_s * MS_PER_SECOND,
-      }),
+      limits: () => readRetryLimits(settings),
       now,
       vms: () => peers.size(),
     }),
