Bound the requests that one connection may have open

Of two crowds that send 2,000 requests one behind the other from each of 40 callers, one left an ordinary request without an answer: the runtime reads some hundreds of requests in one piece, before anything else is served.

A connection with more than 64 requests without an answer is closed.

--- a/src/adapters/intake/limitConnections.ts
+++ b/src/adapters/intake/limitConnections.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the open connections of a server. Where a further one comes, the one that has gone longest without a
- * complete request is closed; the further one itself if all serve requests.
+ * Bounds the open connections of a server, and the requests that one connection has open. Where a further connection comes, the one that has gone
+ * longest without a complete request is closed; the further one itself if all serve requests.
  */
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -9,6 +9,8 @@
 
 export interface ConnectionLimitOptions {
   readonly maxConnections: number;
+  /** Requests without an answer on one connection; with more, it is closed. */
+  readonly maxPipelined: number;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
   /** Called for each connection that is closed for the limit. */
@@ -25,7 +27,7 @@
 
 /** @param server a server that has accepted no connection yet */
 export function limitConnections(server: Server, options: ConnectionLimitOptions): void {
-  const { maxConnections, now, onClosed } = options;
+  const { maxConnections, maxPipelined, now, onClosed } = options;
   const connections = new Map<Socket, Connection>();
   let lastId = 0;
   const makeRoom = (): void => {
@@ -59,7 +61,13 @@
       if (connection !== undefined)
         connections.set(socket, { ...connection, requests, waitingSinceMs: now() });
     };
-    change(new Set([...(connections.get(socket)?.requests ?? []), request]));
+    const requests = new Set([...(connections.get(socket)?.requests ?? []), request]);
+    change(requests);
+    // The runtime reads all requests of one piece of 64 KB at once, some hundreds.
+    if (requests.size > maxPipelined && connections.delete(socket)) {
+      onClosed();
+      socket.destroy();
+    }
     response.once('close', () => {
       const open = connections.get(socket)?.requests ?? new Set();
       change(new Set([...open].filter((one) => one !== request)));
--- a/src/intake/computeIntakeLimits.ts
+++ b/src/intake/computeIntakeLimits.ts
@@ -15,6 +15,8 @@
   readonly bodyBytes: number;
   /** Open connections of callers. */
   readonly connections: number;
+  /** Requests without an answer on one connection. */
+  readonly pipelinedRequests: number;
   /** Open connections of other VMs. */
   readonly peerConnections: number;
   /** Open connections to each of the listeners for readiness, addresses and metrics. */
@@ -47,6 +49,9 @@
 
 const COSTLY_BODIES = 8;
 
+/** Callers send one request at a time on a connection; libraries that pipeline send a few. */
+const PIPELINED_REQUESTS = 64;
+
 export function computeIntakeLimits({
   memoryMb = DEFAULT_MEMORY_MB,
   maxDescriptors = DEFAULT_MAX_DESCRIPTORS,
@@ -61,6 +66,7 @@
   return {
     bodyBytes: Math.max(MIN_BODY_BYTES, Math.floor(memoryBytes * BODY_MEMORY_SHARE)),
     connections,
+    pipelinedRequests: PIPELINED_REQUESTS,
     peerConnections: Math.floor(connections * PEER_SHARE),
     auxiliaryConnections: Math.floor(connections * AUXILIARY_SHARE),
     costlyBodies: COSTLY_BODIES,
--- a/src/node/openIntake.ts
+++ b/src/node/openIntake.ts
@@ -40,7 +40,12 @@
     const onClosed = (): void => {
       metrics.count('closed_connections', listener);
     };
-    limitConnections(server, { maxConnections, now, onClosed });
+    limitConnections(server, {
+      maxConnections,
+      maxPipelined: limits.pipelinedRequests,
+      now,
+      onClosed,
+    });
   };
   return {
     bodies,
