--- a/src/overload/createWorkLimit.ts
+++ b/src/overload/createWorkLimit.ts
@@ -3,7 +3,8 @@
  * several times the callers that a VM can serve, or all callers of a fleet at once after a joint start. What is open then
  * takes the processor, new requests wait for it longer and longer, and each is served for a caller that has left. The
  * limit follows the wait of new requests: it falls while they wait too long, and rises while they do not and some are
- * refused. Without such a wait there is none. It asks for no size of the VM, which may change at any time.
+ * refused. Once none has been refused for a while there is none. A VM that starts begins with a low limit, which rises
+ * fast. The decision asks for no size of the VM, which may change at any time.
  */
 
 import type { LogFields } from '../gateway/job';
