Count a request in the limit on work only once its body is complete

Cause, from the limit on work: bodies that are incomplete counted as open requests, so eight callers that stop short took the places of all. Those refused for lack of processor time were answered and then read to their end, since the runtime takes the listener that bounds a discarded body away once the answer has ended.

Work begins when the body is complete; incomplete bodies have bounds of their own. A refusal for lack of processor time closes the connection of a large or chunked body.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -56,7 +56,7 @@
   /** Whether connections close after their next answer. */
   readonly isDraining: () => boolean;
   /** Decides whether a further request is served; without it, all are. */
-  readonly workLimit?: Pick<WorkLimit, 'admit' | 'release' | 'retryAfterMs'>;
+  readonly workLimit?: Pick<WorkLimit, 'admit' | 'begin' | 'end' | 'retryAfterMs'>;
   /** Estimated time that a request which is read now has waited for the processor, milliseconds. */
   readonly readDelayMs?: (request: IncomingMessage) => number;
 }
@@ -159,7 +159,9 @@
       host.count('refused_bodies', read.bound);
       refuse(request, response, BODY_REFUSALS[read.bound], { ...retryOptions, bound: read.bound });
     }
-    if (read.type !== 'whole') return;
+    if (read.type !== 'whole' || response.destroyed) return;
+    workLimit?.begin();
+    response.once('close', () => workLimit?.end());
     if (delayMs >= MIN_LEAVING_MS && (await hasCallerLeft(request))) {
       host.count('unserved', 'caller-left');
       response.destroy();
@@ -247,7 +249,6 @@
     closeWithConnection(request, response);
     response.once('close', () => {
       open.delete(response);
-      workLimit?.release();
     });
     serve(request, response, forwarded).catch((error: unknown) => {
       host.log('request failed', {
--- a/src/adapters/overload/createOverloadRefusal.ts
+++ b/src/adapters/overload/createOverloadRefusal.ts
@@ -34,7 +34,8 @@
     }
     const { 'content-length': length, 'transfer-encoding': coding } = request.headers;
     if (coding !== undefined || Number(length ?? 0) > MAX_IGNORED_BYTES)
-      refuseRequest(request, response, { reason: 'not-run', protocol, retryAfterMs });
+      // Once its answer has ended, the runtime would read such a body to its end.
+      refuseRequest(request, response, { reason: 'not-run', protocol, retryAfterMs, isLast: true });
     else refuseJob(response, 'not-run', protocol, { retryAfterMs });
   };
 }
--- a/src/overload/createWorkLimit.test.ts
+++ b/src/overload/createWorkLimit.test.ts
@@ -18,7 +18,11 @@
     }
   };
   const admitAll = (requests: number): number =>
-    Array.from({ length: requests }, () => limit.admit()).filter(Boolean).length;
+    Array.from({ length: requests }, () => {
+      const isAdmitted = limit.admit();
+      if (isAdmitted) limit.begin();
+      return isAdmitted;
+    }).filter(Boolean).length;
   return { limit, logged, measure, admitAll };
 }
 
@@ -79,4 +83,10 @@
     admitAll(1_000);
     expect(limit.retryAfterMs()).toBe(4_000);
   });
+
+  it('counts no request whose body is not complete', () => {
+    const { limit } = start();
+    const admitted = Array.from({ length: 100 }, () => limit.admit());
+    expect(admitted).not.toContain(false);
+  });
 });
--- a/src/overload/createWorkLimit.ts
+++ b/src/overload/createWorkLimit.ts
@@ -10,10 +10,12 @@
 import type { LogFields } from '../gateway/job';
 
 export interface WorkLimit {
-  /** Whether a further request may be served; counts the decision. */
+  /** Whether a request that has arrived may be served; counts the decision. */
   readonly admit: () => boolean;
-  /** Records that a request that was admitted has ended. */
-  readonly release: () => void;
+  /** Records that work on a request begins; one whose body is not complete is none yet. */
+  readonly begin: () => void;
+  /** Records that work on a request has ended. */
+  readonly end: () => void;
   /** Decides anew; called often. */
   readonly measure: (waitMs: number) => void;
   /** Requests that may be open; undefined where there is no limit. */
@@ -112,11 +114,13 @@
         window = { ...window, refused: window.refused + 1 };
         return false;
       }
-      open += 1;
       window = { ...window, admitted: window.admitted + 1 };
       return true;
     },
-    release: () => {
+    begin: () => {
+      open += 1;
+    },
+    end: () => {
       open -= 1;
     },
     measure: (waitMs) => {
--- a/src/overload/overloadReplay.test.ts
+++ b/src/overload/overloadReplay.test.ts
@@ -66,9 +66,9 @@
         nowMs += REFUSAL_MS;
       } else if (waitMs >= PATIENCE_MS) {
         nowMs += REFUSAL_MS;
-        limit.release();
       } else {
         nowMs += START_MS;
+        limit.begin();
         served.set(second, (served.get(second) ?? 0) + 1);
         streams = [...streams, { nextMs: nowMs + EVENT_GAP_MS, left: EVENTS }];
       }
@@ -79,7 +79,7 @@
       if (stream.nextMs > nowMs) return [stream];
       nowMs += EVENT_MS;
       if (stream.left > 1) return [{ nextMs: stream.nextMs + EVENT_GAP_MS, left: stream.left - 1 }];
-      limit.release();
+      limit.end();
       return [];
     });
     if (nowMs === beganMs) nowMs += 1;
