Hold a harmful request back for its whole time although its caller repeats it

A caller that sends a harmful request again and again got it run once more five seconds after its last crash, and a server more ended under it; it should wait for 20 s, and four times as long after each further crash.

A content that nearly all requests hold is refused for 5 s only, since little else is served meanwhile. Whether one is widespread was counted among requests with shared parts; where there are none, any whole request that came four times in some seconds was. That a VM started anew is no part of it. Refusing a whole request costs no other request anything, so the rule is now for parts.

The new unit test fails before (0 ms held) and passes with the change.

--- a/src/gateway/createContentSuspicions.test.ts
+++ b/src/gateway/createContentSuspicions.test.ts
@@ -309,6 +309,14 @@
     expect(vm.isSuspect(next)).toBe(false);
   });
 
+  it('does not run a harmful request again sooner when its caller repeats it', () => {
+    const vm = createVm();
+    for (const server of [a, b, c]) vm.crash(server, 'bad');
+    vm.setTime(10_000);
+    for (let sent = 0; sent < 8; sent += 1) vm.recordArrival(['request:bad']);
+    expect(vm.heldMs('bad')).toBe(10_000);
+  });
+
   it('goes on refusing a content however many others are suspected', () => {
     const vm = createVm();
     for (const server of [a, b, c]) vm.crash(server, 'bad');
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -42,7 +42,7 @@
  */
 const SEPARATION_MS = 10_000;
 
-/** Longest time for which a content is refused that nearly all requests hold: little else is served meanwhile. */
+/** Longest time for which a part is refused that nearly all requests hold: little else is served meanwhile. */
 const WIDESPREAD_HOLD_MS = 5_000;
 
 /** Time for which crashes are kept, milliseconds. */
@@ -137,7 +137,9 @@
   };
   const getHeldUntilMs = (group: HeldGroup, contents: readonly string[]): number => {
     if (group.contents.every((one) => contents.includes(one))) {
-      const isWidespread = group.contents.every(arrivals.isWidespread);
+      const isWidespread = group.contents.every(
+        (content) => !crashLimitOf(content).isWholeRequest && arrivals.isWidespread(content),
+      );
       const longestMs = isWidespread ? WIDESPREAD_HOLD_MS : Number.POSITIVE_INFINITY;
       return Math.min(group.untilMs, group.lastCrashAtMs + longestMs);
     }
