Bound the bodies of refused requests beyond the end of their answer

A caller without a route or credential could send a chunked body without end over one connection: its answer came, and the VM went on reading, which takes processor time from others.

Cause: when an answer has ended, the runtime discards the rest of a request that nobody has begun to read, and removes the listeners of its data, among them the one that counts the body. Our replacement of its read did not mark the body as begun.

The replacement now calls the runtime's own read.

--- a/src/adapters/intake/refuseRequest.ts
+++ b/src/adapters/intake/refuseRequest.ts
@@ -60,9 +60,11 @@
   let bytes = 0;
   let pieces = 0;
   let isOver = request.socket.isPaused();
-  // Node.js reads a connection on whenever a piece has been taken.
-  request._read = () => {
-    if (!isOver) request.socket.resume();
+  // Node.js reads a connection on whenever a piece has been taken. Its own read also marks the body as taken;
+  // otherwise the end of the answer removes the listener below.
+  const read = request._read.bind(request);
+  request._read = (size) => {
+    if (!isOver) read(size);
   };
   request.on('data', (piece: Buffer) => {
     bytes += piece.length;
