Let reports of contents cost a large fleet less: relays pass them on, one reader each

When four engines are lost, 72 VMs report 274 contents. Each VM announced what it had heard from others, and each datagram was decoded by each of five possible readers; by a trace, a VM spent 140 ms of one second on 180 datagrams, about half of its share.

A datagram goes to the reader of its format. Smaller fleets exchange the same reports as before.

--- a/src/adapters/gateway/createPeerGroup.ts
+++ b/src/adapters/gateway/createPeerGroup.ts
@@ -17,6 +17,7 @@
 import type { DomainDigest, PeerStatus, Heartbeat, PeerRecord } from '../../peers/peer';
 import type { DigestScope } from '../../peers/planHeartbeats';
 import { planHeartbeats } from '../../peers/planHeartbeats';
+import { readDatagramFormat } from '../../peers/readDatagramFormat';
 import { createPeerSocket } from './createPeerSocket';
 
 export interface PeerGroup {
@@ -29,6 +30,8 @@
   readonly size: () => number;
   /** VMs of this failure domain that follow the store for the others; none in a small fleet. */
   readonly relays: () => readonly PeerRecord[];
+  /** Whether other VMs learn from this one what it has heard; in a fleet with relays, they do from relays only. */
+  readonly passesOn: () => boolean;
   /** Sends heartbeats immediately, ahead of the interval. */
   readonly announce: () => void;
   /** Sends a datagram to the VMs that get this VM's heartbeats. */
@@ -218,7 +221,8 @@
     suspectsByVm.set(vm, ids);
   };
   const receive = (datagram: Uint8Array): void => {
-    const heartbeat = decodeHeartbeat(datagram);
+    const isReport = readDatagramFormat(datagram) !== undefined;
+    const heartbeat = isReport ? undefined : decodeHeartbeat(datagram);
     if (heartbeat === undefined) {
       options.onDatagram?.(datagram);
       return;
@@ -246,6 +250,8 @@
       suspectsByVm.delete(vm);
     }
   };
+  const relays = (): readonly PeerRecord[] =>
+    isRelayed() ? chooseRelays(records, self.failureDomain, relayMonitor.isSilent) : [];
   return {
     setRecords: (next) => {
       records = next.some(({ vm }) => vm === self.vm) ? next : [...next, self];
@@ -267,8 +273,8 @@
       }),
     members: () => members,
     size: () => records.length,
-    relays: () =>
-      isRelayed() ? chooseRelays(records, self.failureDomain, relayMonitor.isSilent) : [],
+    relays,
+    passesOn: () => !isRelayed() || relays().some(({ vm }) => vm === self.vm),
     announce,
     broadcast: (datagram) => {
       for (const { peer } of planHeartbeats(self, records, relayMonitor.isSilent))
--- a/src/adapters/gateway/repeatSending.ts
+++ b/src/adapters/gateway/repeatSending.ts
@@ -8,8 +8,8 @@
 
 export interface RepeatedSendingOptions {
   readonly send: () => void;
-  /** Delay of news, which batches those that come together, milliseconds. */
-  readonly delayMs: number;
+  /** Delay of news, which batches those that come together, milliseconds; it may change. */
+  readonly delayMs: () => number;
   /** Interval of repetitions, milliseconds. */
   readonly intervalMs: number;
 }
@@ -27,7 +27,7 @@
       newsTimer ??= setTimeout(() => {
         newsTimer = undefined;
         send();
-      }, delayMs);
+      }, delayMs());
     },
     close: () => {
       clearTimeout(newsTimer);
--- a/src/adapters/gateway/shareCatalogVersion.ts
+++ b/src/adapters/gateway/shareCatalogVersion.ts
@@ -43,7 +43,7 @@
     if (now() >= untilMs || current === undefined || catalog.era() === 0) return;
     broadcast(encodeCatalogVersion(current.version));
   };
-  const sending = repeatSending({ send, delayMs: NEWS_DELAY_MS, intervalMs: REPEAT_MS });
+  const sending = repeatSending({ send, delayMs: () => NEWS_DELAY_MS, intervalMs: REPEAT_MS });
   return {
     receive: (datagram) => {
       const version = decodeCatalogVersion(datagram);
--- a/src/adapters/gateway/sharePartitions.ts
+++ b/src/adapters/gateway/sharePartitions.ts
@@ -39,7 +39,7 @@
     send: () => {
       if (partition.isPartitioned()) send();
     },
-    delayMs: 0,
+    delayMs: () => 0,
     intervalMs: REPEAT_MS,
   });
   partition.onChange(send);
--- a/src/adapters/gateway/shareReports.ts
+++ b/src/adapters/gateway/shareReports.ts
@@ -3,6 +3,11 @@
 import type { ContentSuspicions } from '../../gateway/contentSuspicions';
 import type { PartitionDetector } from '../../gateway/createPartitionDetector';
 import type { RequestLimits } from '../../gateway/createRequestLimits';
+import { CATALOG_FORMAT } from '../../peers/catalogVersionCodec';
+import { CONTENTS_FORMAT } from '../../peers/contentReportCodec';
+import { LIMITS_FORMAT } from '../../peers/limitReportCodec';
+import { PARTITION_FORMAT } from '../../peers/partitionCodec';
+import { readDatagramFormat } from '../../peers/readDatagramFormat';
 import type { PeerGroup } from './createPeerGroup';
 import { shareCatalogVersion } from './shareCatalogVersion';
 import type { CatalogVersionSharingOptions } from './shareCatalogVersion';
@@ -32,7 +37,7 @@
 > {
   /** Name of this VM. */
   readonly vm: string;
-  readonly peers: Pick<PeerGroup, 'broadcast'>;
+  readonly peers: Pick<PeerGroup, 'broadcast' | 'passesOn' | 'relays'>;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
 }
@@ -47,12 +52,15 @@
   const sharedLimits = shareRequestLimits(limits, peers);
   const partitions = sharePartitions({ vm, partition, broadcast: peers.broadcast, now });
   const catalogVersions = shareCatalogVersion({ ...options, broadcast: peers.broadcast });
+  const receivers = new Map([
+    [CATALOG_FORMAT, catalogVersions.receive],
+    [CONTENTS_FORMAT, contents.receive],
+    [LIMITS_FORMAT, sharedLimits.receive],
+    [PARTITION_FORMAT, partitions.receive],
+  ]);
   return {
     receive: (datagram) => {
-      catalogVersions.receive(datagram);
-      contents.receive(datagram);
-      sharedLimits.receive(datagram);
-      partitions.receive(datagram);
+      receivers.get(readDatagramFormat(datagram) ?? '')?.(datagram);
     },
     greet: () => {
       sharedLimits.sendSoon();
--- a/src/adapters/gateway/shareRequestLimits.ts
+++ b/src/adapters/gateway/shareRequestLimits.ts
@@ -35,7 +35,7 @@
   };
   const sending = repeatSending({
     send: sendAll,
-    delayMs: NEWS_DELAY_MS,
+    delayMs: () => NEWS_DELAY_MS,
     intervalMs: REPEAT_MS,
   });
   limits.onNews(sending.sendSoon);
--- a/src/gateway/contentSuspicions.ts
+++ b/src/gateway/contentSuspicions.ts
@@ -1,6 +1,7 @@
 /** Which contents may be the cause of crashes, as a VM keeps it. */
 
 import type { ContentReport } from '../crashes/contentTally';
+import type { Passing } from '../crashes/createReportSchedule';
 
 /** An incarnation of a backend server. */
 export interface ServerIncarnation {
@@ -41,10 +42,10 @@
    * @param ranMs time for which it has run so far, milliseconds; by default it is complete
    */
   readonly recordHarmlessRun: (contents: readonly string[], ranMs?: number) => void;
-  /** Joins what another VM reports. */
-  readonly merge: (reports: readonly ContentReport[]) => void;
+  /** Joins what another VM reports, and reports it in turn if this VM passes it on. */
+  readonly merge: (reports: readonly ContentReport[], passing?: Passing) => void;
   /** Takes the reports that are due to be sent: new ones first, most crashes first; others once in a while. */
-  readonly takeReports: (limit: number) => readonly ContentReport[];
+  readonly takeReports: (limit: number, passing?: Passing) => readonly ContentReport[];
   /**
    * Reports of the contents that must outlast the VMs: those that are refused or run on trial, then those that one more
    * crash has refused.
--- a/src/gateway/createContentSuspicions.ts
+++ b/src/gateway/createContentSuspicions.ts
@@ -10,6 +10,7 @@
 import { LRUCache } from 'lru-cache';
 import { addCrash } from '../crashes/addCrash';
 import { choosePrimeSuspect } from '../crashes/choosePrimeSuspect';
+import { createReportSchedule } from '../crashes/createReportSchedule';
 import { crashLimitOf } from '../crashes/crashLimitOf';
 import type { ContentReport, ContentTally } from '../crashes/contentTally';
 import { LOSS_VALID_MS } from './contentSuspicions';
@@ -33,9 +34,6 @@
   readonly count: (counter: string, label?: string) => void;
 }
 
-/** Time between two reports of a content about which nothing is new, for VMs that have missed it. */
-const REPORT_INTERVAL_MS = 1_000;
-
 /**
  * Time after a crash in which one of the contents that can't be told apart waits for the others to run, milliseconds.
  * Only complete runs tell them apart, and streams last for some seconds.
@@ -51,9 +49,6 @@
 /** Time for which a content is reported that was cleared of all crashes. */
 const CLEARED_KEPT_MS = 10_000;
 
-/** Before any time of the clock. */
-const NEVER_MS = -1;
-
 const MAX_CONTENTS = 1_000;
 const CONTENTS_DROPPED_AT_ONCE = 100;
 const MAX_LOSSES = 1_000;
@@ -82,12 +77,11 @@
   const endedMs = new LRUCache<string, number>({ max: MAX_LOSSES });
   const harmlessRuns = createHarmlessRuns(now);
   const arrivals = createContentArrivals(now);
-  const reportedMs = new Map<string, number>();
+  const schedule = createReportSchedule(now);
   const listeners: (() => void)[] = [];
 
   const isRecent = (atMs: number | undefined, validMs: number): boolean =>
     atMs !== undefined && now() - atMs < validMs;
-  const getReportedMs = (content: string): number => reportedMs.get(content) ?? NEVER_MS;
   /** Drops contents with a single crash if there are any, and others only while they are not refused. */
   const makeRoom = (): void => {
     if (tallies.size < MAX_CONTENTS) return;
@@ -99,17 +93,33 @@
     const maxTallies = Math.max(1, dispensable.size - CONTENTS_DROPPED_AT_ONCE);
     const bounds = { maxTallies, validMs: TALLY_VALID_MS };
     tallies = rest.merge(pruneCrashTallies(dispensable, now(), bounds));
-    for (const content of reportedMs.keys()) if (!tallies.has(content)) reportedMs.delete(content);
+    for (const content of dispensable.keys()) if (!tallies.has(content)) schedule.forget(content);
   };
-  const store = (content: string, tally: ContentTally): void => {
-    const before = tallies.get(content);
-    if (before === tally) return;
-    if (before === undefined) makeRoom();
+  const keep = (content: string, tally: ContentTally): void => {
+    if (!tallies.has(content)) makeRoom();
     tallies = tallies.set(content, tally);
-    reportedMs.delete(content);
     areCulpritsKnown = false;
+  };
+  const announce = (content: string, origin: 'seen' | 'heard'): void => {
+    schedule.announce(content, origin);
     for (const listener of listeners) listener();
   };
+  /** Keeps what this VM has seen itself. */
+  const store = (content: string, tally: ContentTally): void => {
+    if (tallies.get(content) === tally) return;
+    keep(content, tally);
+    announce(content, 'seen');
+  };
+  /** Keeps what another VM has reported. */
+  const join = (report: ContentReport, passesOn: boolean): void => {
+    const { content } = report;
+    const before = tallies.get(content);
+    const joined = joinContentTally(before, report, now());
+    if (joined === before) return;
+    keep(content, joined);
+    if (before === undefined) schedule.hear(content);
+    if (passesOn) announce(content, 'heard');
+  };
   const updateCulprits = (): void => {
     if (areCulpritsKnown) return;
     areCulpritsKnown = true;
@@ -187,15 +197,14 @@
   });
   const removeOutdated = (): void => {
     const isOutdated = (tally: ContentTally): boolean => {
-      const ageMs = now() - tally.lastCrashAtMs;
       const isCleared = listOpenCrashes(tally).length === 0;
-      return ageMs >= (isCleared ? CLEARED_KEPT_MS : TALLY_VALID_MS);
+      return now() - tally.lastCrashAtMs >= (isCleared ? CLEARED_KEPT_MS : TALLY_VALID_MS);
     };
     for (const [content, tally] of tallies) {
       if (!isOutdated(tally)) continue;
       areCulpritsKnown = false;
       tallies = tallies.remove(content);
-      reportedMs.delete(content);
+      schedule.forget(content);
     }
   };
 
@@ -238,25 +247,17 @@
       for (const content of contents) disproveIfHarmless(content);
       updateCulprits();
     },
-    merge: (reports) => {
+    merge: (reports, { passesOn = true } = {}) => {
       for (const report of reports) {
-        const { content } = report;
-        store(content, joinContentTally(tallies.get(content), report, now()));
-        disproveIfHarmless(content);
+        join(report, passesOn);
+        disproveIfHarmless(report.content);
       }
       updateCulprits();
     },
-    takeReports: (limit) => {
+    takeReports: (limit, passing) => {
       removeOutdated();
       updateCulprits();
-      const due = [...tallies]
-        .filter(([content]) => !isRecent(reportedMs.get(content), REPORT_INTERVAL_MS))
-        .sort(
-          ([one, { crashes }], [other, { crashes: otherCrashes }]) =>
-            getReportedMs(one) - getReportedMs(other) || otherCrashes - crashes,
-        )
-        .slice(0, limit);
-      for (const [content] of due) reportedMs.set(content, now());
+      const due = schedule.takeDue(tallies, limit, passing);
       return due.map(([content, tally]) => createReport(content, tally));
     },
     listKept: () => {
--- a/src/peers/catalogVersionCodec.ts
+++ b/src/peers/catalogVersionCodec.ts
@@ -5,13 +5,13 @@
 import { decodeDatagram } from './decodeDatagram';
 
 /** First item of every datagram; a heartbeat begins with a number. */
-const FORMAT = 'catalog-1';
+export const CATALOG_FORMAT = 'catalog-1';
 
-const datagramSchema = z.tuple([z.literal(FORMAT), z.int().nonnegative()]);
+const datagramSchema = z.tuple([z.literal(CATALOG_FORMAT), z.int().nonnegative()]);
 
 /** @param version version of the catalog in force */
 export function encodeCatalogVersion(version: number): Uint8Array {
-  return encode([FORMAT, version]);
+  return encode([CATALOG_FORMAT, version]);
 }
 
 /** @returns undefined if the datagram holds no version in this format */
--- a/src/peers/contentReportCodec.ts
+++ b/src/peers/contentReportCodec.ts
@@ -9,7 +9,7 @@
 import { decodeDatagram } from './decodeDatagram';
 
 /** First item of every datagram; a heartbeat begins with a number. */
-const FORMAT = 'contents-1';
+export const CONTENTS_FORMAT = 'contents-1';
 
 const MAX_TEXT = 200;
 const MAX_SERVERS = 64;
@@ -20,7 +20,7 @@
 const serversSchema = z.array(z.string().max(MAX_TEXT)).max(MAX_SERVERS);
 
 const datagramSchema = z.tuple([
-  z.literal(FORMAT),
+  z.literal(CONTENTS_FORMAT),
   z
     .array(z.tuple([z.string().max(MAX_TEXT), serversSchema, serversSchema, z.number().min(0)]))
     .max(MAX_REPORTS),
@@ -29,7 +29,7 @@
 /** @returns the datagram; at most `MAX_REPORTS` reports fit into it */
 export function encodeContentReports(reports: readonly ContentReport[]): Uint8Array {
   return encode([
-    FORMAT,
+    CONTENTS_FORMAT,
     reports.map(({ content, servers, disproved, ageMs }) => [
       content,
       servers.slice(-MAX_SERVERS),
--- a/src/peers/limitReportCodec.ts
+++ b/src/peers/limitReportCodec.ts
@@ -9,7 +9,7 @@
 import { decodeDatagram } from './decodeDatagram';
 
 /** First item of every datagram; a heartbeat begins with a number. */
-const FORMAT = 'limits-1';
+export const LIMITS_FORMAT = 'limits-1';
 
 const MAX_TEXT = 200;
 
@@ -23,12 +23,15 @@
   z.number().min(0),
 ]);
 
-const datagramSchema = z.tuple([z.literal(FORMAT), z.array(reportSchema).max(MAX_LIMIT_REPORTS)]);
+const datagramSchema = z.tuple([
+  z.literal(LIMITS_FORMAT),
+  z.array(reportSchema).max(MAX_LIMIT_REPORTS),
+]);
 
 /** @returns the datagram; at most `MAX_LIMIT_REPORTS` reports fit into it */
 export function encodeLimitReports(reports: readonly LimitReport[]): Uint8Array {
   return encode([
-    FORMAT,
+    LIMITS_FORMAT,
     reports.map(({ id, bornMs, perSecond, ageMs }) => [
       id,
       bornMs,
--- a/src/peers/partitionCodec.ts
+++ b/src/peers/partitionCodec.ts
@@ -10,14 +10,18 @@
 }
 
 /** First item of every datagram; a heartbeat begins with a number. */
-const FORMAT = 'partition-1';
+export const PARTITION_FORMAT = 'partition-1';
 
 const MAX_TEXT = 200;
 
-const datagramSchema = z.tuple([z.literal(FORMAT), z.string().max(MAX_TEXT), z.boolean()]);
+const datagramSchema = z.tuple([
+  z.literal(PARTITION_FORMAT),
+  z.string().max(MAX_TEXT),
+  z.boolean(),
+]);
 
 export function encodePartitionNotice({ vm, isPartitioned }: PartitionNotice): Uint8Array {
-  return encode([FORMAT, vm, isPartitioned]);
+  return encode([PARTITION_FORMAT, vm, isPartitioned]);
 }
 
 /** @returns undefined if the datagram holds no notice of this format */
