--- a/src/gateway/contentReportStorm.test.ts
+++ b/src/gateway/contentReportStorm.test.ts
@@ -48,7 +48,7 @@
     });
     const targets = planHeartbeats(self, records, () => false).map(({ peer }) => peer.vm);
     const isRelay = targets.length > 2;
-    return { self, suspicions, targets, passing: { passesOn: isRelay }, end, endOf: () => end };
+    return { self, suspicions, targets, passing: { passesOn: isRelay }, endOf: () => end };
   });
   const byName = new Map(vms.map((vm) => [vm.self.vm, vm]));
   let delivered = 0;
