Leave time to other work between turns of bodies in tiny pieces

Callers saw: bodies in chunks of one byte took all of a VM's processor time, though half of it is to be left to others.

Cause: the next turn was planned as soon as one had begun, when the rest after it was not known yet, and nothing asked again. One read of a connection takes many times the pieces of a turn, so the turns followed each other without a rest.

Change: what runs a turn asks again whether it is due. The bound on costly bodies is optional, for replies, which wait but are not refused.

--- a/src/adapters/intake/createConnectionTurns.ts
+++ b/src/adapters/intake/createConnectionTurns.ts
@@ -7,8 +7,8 @@
 import { createReadTurns } from '../../intake/createReadTurns';
 
 export interface ConnectionTurnOptions {
-  /** Bodies in tiny pieces that are received at the same time. */
-  readonly costlyBodies: number;
+  /** Bodies in tiny pieces that are received at the same time; a further one is refused. Without it, all wait. */
+  readonly costlyBodies?: number;
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
 }
@@ -24,7 +24,8 @@
     isTurnPlanned = true;
     const run = (): void => {
       isTurnPlanned = false;
-      const id = turns.next();
+      // The turn before may have been in progress when this one was planned.
+      const id = turns.dueInMs() === 0 ? turns.next() : undefined;
       if (id !== undefined) readers.get(id)?.();
       planTurn();
     };
--- a/src/intake/createReadTurns.ts
+++ b/src/intake/createReadTurns.ts
@@ -1,6 +1,6 @@
 /**
- * Shares the processor among request bodies. The load: a crowd that sends its bodies in chunks of one byte, each of
- * which takes about as much time as a large one. A body may cause a bounded amount of work; then its connection is not
+ * Shares the processor among bodies that are received. The load: a crowd, or a faulty server, that sends its bodies in
+ * chunks of one byte, each of which takes about as much time as a large one. A body may cause a bounded amount of work; then its connection is not
  * read until its turn comes, which goes to the body that has caused least. A single body does not wait. With several,
  * as much time as a turn has taken is left to other work after it, and the number of costly bodies is bounded.
  */
@@ -27,11 +27,11 @@
 export interface ReadTurnOptions {
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
-  /** Costly bodies that are received at the same time; a further one is refused. */
-  readonly maxCostly: number;
+  /** Costly bodies that are received at the same time; a further one is refused. Without it, all wait. */
+  readonly maxCostly?: number | undefined;
 }
 
-/** Work of a turn, in pieces; the bodies of ordinary callers need no second turn. */
+/** Work of a turn, in pieces; ordinary bodies need no second turn. */
 const TURN_PIECES = 512;
 
 /** Bytes that take about as long to receive as the overhead of a piece. */
@@ -49,7 +49,7 @@
   readonly beginTurn: () => void;
 }
 
-export function createReadTurns({ now, maxCostly }: ReadTurnOptions): ReadTurns {
+export function createReadTurns({ now, maxCostly = Infinity }: ReadTurnOptions): ReadTurns {
   const readers = new Map<number, Reader>();
   const waiting = new Set<number>();
   const costly = new Set<number>();
