Let replies of servers take turns on the processor

Callers saw: while a faulty server sent replies in chunks of one byte to 40 requests, an ordinary request was cut or refused five times in a row.

Cause: a reply may have 65,536 pieces, and the time for those of all replies had no bound.

Change: replies that are read whole take turns as bodies of callers do. None is refused for its pieces, as a sound server may write a row at a time; the bound of each stays. openReplies puts together what replies share.

--- a/src/adapters/gateway/callServer.ts
+++ b/src/adapters/gateway/callServer.ts
@@ -117,7 +117,7 @@
     reply.destroy();
     return { type: 'unknown', detail: fault, isLost: false };
   }
-  const read = await readReplyBody(reply, host.replyMemory);
+  const read = await readReplyBody(reply, host);
   if (read.type === 'broken') {
     if (read.isOversized === true) host.count('oversized_replies');
     return { type: 'unknown', detail: read.detail, isLost: read.isOversized !== true };
--- a/src/adapters/gateway/endlessReplies.test.ts
+++ b/src/adapters/gateway/endlessReplies.test.ts
@@ -4,6 +4,7 @@
 import { exchangeJson } from './exchangeJson';
 import type { JsonResult } from './exchangeJson';
 import { openExchange } from './openExchange';
+import { createConnectionTurns } from '../intake/createConnectionTurns';
 import { createReplyMemory } from '../../replies/createReplyMemory';
 import { readReplyBody } from './readReplyBody';
 import { startFloodServer } from './startFloodServer';
@@ -57,17 +58,20 @@
   readonly isSent: boolean;
 }
 
+const SHARES = {
+  replyMemory: createReplyMemory({ maxBytes: 100_000_000 }),
+  replyTurns: createConnectionTurns({ now: () => performance.now() }),
+};
+
 const sendCall = (address: string): Promise<CallEnd> =>
   new Promise((resolve) => {
     openExchange(
       { address, method: 'POST', path: '/', headers: {}, body: Buffer.from('hello') },
       {
         onReply: (reply) => {
-          void readReplyBody(reply, createReplyMemory({ maxBytes: 100_000_000 })).then(
-            ({ type }) => {
-              resolve({ type, isSent: true });
-            },
-          );
+          void readReplyBody(reply, SHARES).then(({ type }) => {
+            resolve({ type, isSent: true });
+          });
         },
         onFailure: ({ isSent }) => {
           resolve({ type: 'failed', isSent });
--- a/src/adapters/gateway/openExchange.test.ts
+++ b/src/adapters/gateway/openExchange.test.ts
@@ -2,12 +2,16 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { IncomingMessage } from 'node:http';
 import { openExchange } from './openExchange';
+import { createConnectionTurns } from '../intake/createConnectionTurns';
 import { createReplyMemory } from '../../replies/createReplyMemory';
 import { readReplyBody } from './readReplyBody';
 
-const memory = createReplyMemory({ maxBytes: 100_000_000 });
+const shares = {
+  replyMemory: createReplyMemory({ maxBytes: 100_000_000 }),
+  replyTurns: createConnectionTurns({ now: () => performance.now() }),
+};
 
-const read = (reply: IncomingMessage) => readReplyBody(reply, memory);
+const read = (reply: IncomingMessage) => readReplyBody(reply, shares);
 
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 
--- a/src/adapters/gateway/openPeerExchange.ts
+++ b/src/adapters/gateway/openPeerExchange.ts
@@ -63,7 +63,7 @@
 ): Promise<PeerReply> {
   const status = reply.statusCode ?? 0;
   const { isSealed } = host.protocol.readReply(status, reply.headers);
-  const read = await readReplyBody(reply, host.replyMemory);
+  const read = await readReplyBody(reply, host);
   if (read.type === 'broken') return { type: 'broken', detail: read.detail };
   const { body } = read;
   response.once('close', read.release);
--- a/src/adapters/gateway/runStreamAttempt.ts
+++ b/src/adapters/gateway/runStreamAttempt.ts
@@ -185,7 +185,7 @@
       readStreamEvents(reply, { isOver: () => isOver, onEvents: deliver, onEnd: endAttempt });
       return;
     }
-    void readReplyBody(reply, host.replyMemory).then((read) => {
+    void readReplyBody(reply, host).then((read) => {
       if (read.type === 'broken') {
         endAttempt(read);
         return;
--- a/src/gateway/job.ts
+++ b/src/gateway/job.ts
@@ -13,6 +13,7 @@
 import type { ServerProbes } from './createServerProbes';
 import type { SilenceAlarms } from '../evidence/createSilenceAlarms';
 import type { StreamWatch } from './streamWatch';
+import type { ConnectionTurns } from '../intake/connectionTurns';
 import type { ReplyMemory } from '../replies/createReplyMemory';
 
 export interface Job {
@@ -75,6 +76,8 @@
   readonly silenceAlarms: SilenceAlarms;
   /** Memory of all replies of backend servers and other VMs. */
   readonly replyMemory: ReplyMemory;
+  /** Processor time of the replies that are read whole. */
+  readonly replyTurns: ConnectionTurns;
   /** Counts what a response keeps for a caller that reads slowly; called after each write. */
   readonly countUnsent: (response: ServerResponse) => void;
   /** Name of this VM. */
--- a/src/node/startGateway.ts
+++ b/src/node/startGateway.ts
@@ -6,7 +6,7 @@
 
 import { createCallerServer } from '../adapters/intake/createCallerServer';
 import { createGateway } from '../adapters/gateway/createGateway';
-import { createUnsentCount } from '../adapters/gateway/createUnsentCount';
+import { openReplies } from '../adapters/gateway/openReplies';
 import { createPeerGroup } from '../adapters/gateway/createPeerGroup';
 import { createStreamWatch } from '../adapters/gateway/createStreamWatch';
 import { dispatchPeerRequest } from '../adapters/gateway/dispatchPeerRequest';
@@ -175,8 +175,7 @@
   const host: GatewayHost = {
     ...backend,
     protocol,
-    replyMemory,
-    countUnsent: createUnsentCount(replyMemory),
+    ...openReplies({ replyMemory, now }),
     retryBudgets: createRetryBudgets({
       limits: () => readRetryLimits(settings),
       now,
