Raise the limit on work fast while the processor is idle

Callers saw: after other work had made a VM late for a moment, it refused requests for seconds, with its processor half idle.

Cause: the limit fell with each late measurement whatever made the VM late, and rose by 2 % and a quarter of a request in a measurement, and only where a request had been refused in it.

Change: the limit rises by half in each measurement in which the process had no work for a quarter of the time. A VM whose processor is not used can't be the reason to refuse. While callers bring too much, the process has no idle time, and the limit moves as before.

--- a/src/node/createLoadControl.ts
+++ b/src/node/createLoadControl.ts
@@ -40,9 +40,9 @@
     start: (start) => {
       processor.start({
         ...start,
-        onMeasured: (waitMs) => {
+        onMeasured: (measurement) => {
           shedding.check();
-          workLimit.measure(waitMs);
+          workLimit.measure(measurement);
         },
       });
     },
--- a/src/node/watchProcessor.ts
+++ b/src/node/watchProcessor.ts
@@ -12,6 +12,7 @@
 import type { LogFields } from '../gateway/job';
 import { createReadDelay } from '../overload/createReadDelay';
 import type { AcceptedConnection } from '../overload/createReadDelay';
+import type { WorkMeasurement } from '../overload/createWorkLimit';
 import type { GatewayMetrics } from './createGatewayMetrics';
 
 export interface ProcessorWatch {
@@ -27,8 +28,8 @@
   /** Server of callers, and the IP and port at which it listens. */
   readonly server: Server;
   readonly address: string;
-  /** Called after each measurement with the time that new requests wait, milliseconds. */
-  readonly onMeasured: (waitMs: number) => void;
+  /** Called after each measurement. */
+  readonly onMeasured: (measurement: WorkMeasurement) => void;
 }
 
 export interface ProcessorWatchOptions {
@@ -112,9 +113,13 @@
       timer = setInterval(() => {
         lag.tick();
         delay.tick();
-        if (measureTick() >= BUSY_SHARE) probe.measure();
+        const tickUtilization = measureTick();
+        if (tickUtilization >= BUSY_SHARE) probe.measure();
         if (now() - loggedMs >= LOG_INTERVAL_MS) measureSecond();
-        onMeasured(Math.max(delay.lagMs(), probe.delayMs()));
+        onMeasured({
+          waitMs: Math.max(delay.lagMs(), probe.delayMs()),
+          utilization: tickUtilization,
+        });
       }, LAG_INTERVAL_MS);
     },
     stop: () => {
--- a/src/overload/createWorkLimit.test.ts
+++ b/src/overload/createWorkLimit.test.ts
@@ -11,10 +11,10 @@
     log: (message) => logged.push(message),
     count: () => undefined,
   });
-  const measure = (waitMs: number, times = 1): void => {
+  const measure = (waitMs: number, times = 1, utilization = 1): void => {
     for (let time = 0; time < times; time += 1) {
       nowMs += MEASURE_MS;
-      limit.measure(waitMs);
+      limit.measure({ waitMs, utilization });
     }
   };
   const admitAll = (requests: number): number =>
@@ -68,6 +68,16 @@
     expect(limit.limit()).toBeUndefined();
   });
 
+  it('takes requests again at once while the processor is idle', () => {
+    const { limit, measure, admitAll } = start();
+    measure(0, 30);
+    admitAll(50);
+    measure(150, 3);
+    admitAll(1);
+    measure(0, 1, 0.5);
+    expect(limit.limit()).toBe(60.25);
+  });
+
   it('serves some requests whatever makes them wait', () => {
     const { measure, admitAll } = start();
     measure(0, 30);
--- a/src/overload/createWorkLimit.ts
+++ b/src/overload/createWorkLimit.ts
@@ -3,7 +3,8 @@
  * several times the callers that a VM can serve, or all callers of a fleet at once after a joint start. What is open then
  * takes the processor, new requests wait for it longer and longer, and each is served for a caller that has left. The
  * limit follows the wait of new requests: it falls while they wait too long, and rises while they do not and some are
- * refused. Once none has been refused for a while there is none. A VM that starts begins with a low limit, which rises
+ * refused. It rises fast while the processor is idle for a part of the time: what made requests wait was other work, or
+ * has ended. Once none has been refused for a while there is none. A VM that starts begins with a low limit, which rises
  * fast. The decision asks for no size of the VM, which may change at any time.
  */
 
@@ -17,13 +18,20 @@
   /** Records that work on a request has ended. */
   readonly end: () => void;
   /** Decides anew; called often. */
-  readonly measure: (waitMs: number) => void;
+  readonly measure: (measurement: WorkMeasurement) => void;
   /** Requests that may be open; undefined where there is no limit. */
   readonly limit: () => number | undefined;
   /** Time after which a refused caller may come back, milliseconds. */
   readonly retryAfterMs: () => number;
 }
 
+export interface WorkMeasurement {
+  /** Time that new requests wait, milliseconds. */
+  readonly waitMs: number;
+  /** Share of the time since the last measurement in which the process had work. */
+  readonly utilization: number;
+}
+
 export interface WorkLimitOptions {
   /** Monotonic clock, milliseconds. */
   readonly now: () => number;
@@ -43,13 +51,18 @@
 const CUT_SHARE = 0.8;
 const CUT_INTERVAL_MS = 400;
 
-/** Growth of the limit in a measurement while requests are refused: a share of it, and requests. */
+/** Growth of the limit in a measurement in which requests were refused: a share of it, and requests. */
 const GROWTH_SHARE = 0.02;
 const GROWTH = 0.25;
 
-/** Limit of a VM that has just started, and its growth in a measurement, until new requests wait for the first time. */
+/** Limit of a VM that has just started. */
 const START_LIMIT = 8;
-const START_GROWTH_SHARE = 0.5;
+
+/** Growth after a start, until new requests wait for the first time, and in a measurement with idle time. */
+const FAST_GROWTH_SHARE = 0.5;
+
+/** Share of the time with work below which the processor is no reason to refuse a request. */
+const IDLE_UTILIZATION = 0.75;
 
 /** Fewest requests that are served at the same time; what makes a VM late may be other work, as at its start. */
 const MIN_LIMIT = 4;
@@ -93,9 +106,10 @@
     count('work_limits', 'begun');
     log('work limited', { limit: Math.round(limit), open, waitMs: Math.round(waitMs) });
   };
-  const raise = (current: number): void => {
-    const share = isStarting ? START_GROWTH_SHARE : GROWTH_SHARE;
-    if (hasRefused) limit = current * (1 + share) + GROWTH;
+  const raise = (current: number, utilization: number): void => {
+    const isIdle = utilization < IDLE_UTILIZATION;
+    const share = isStarting || isIdle ? FAST_GROWTH_SHARE : GROWTH_SHARE;
+    if (hasRefused || isIdle) limit = current * (1 + share) + GROWTH;
     if (now() - refusedMs < LIFTED_AFTER_MS) return;
     limit = undefined;
     if (isStarting) {
@@ -123,11 +137,11 @@
     end: () => {
       open -= 1;
     },
-    measure: (waitMs) => {
+    measure: ({ waitMs, utilization }) => {
       changeWindow();
       lateMeasurements = waitMs >= MAX_WAIT_MS ? lateMeasurements + 1 : 0;
       if (lateMeasurements >= LASTING_MEASUREMENTS) cut(waitMs);
-      else if (lateMeasurements === 0 && limit !== undefined) raise(limit);
+      else if (lateMeasurements === 0 && limit !== undefined) raise(limit, utilization);
       hasRefused = false;
     },
     limit: () => limit,
--- a/src/overload/overloadReplay.test.ts
+++ b/src/overload/overloadReplay.test.ts
@@ -15,6 +15,7 @@
 const PATIENCE_MS = 2_000;
 
 const MEASURE_MS = 100;
+const OTHER_FROM_MS = 10_000;
 const LENGTH_MS = 30_000;
 const MS_PER_SECOND = 1_000;
 
@@ -28,13 +29,15 @@
   readonly load: number;
   /** Callers that have connected before the VM begins to accept. */
   readonly backlog?: number;
+  /** Other work in each run of the event loop from second 10 on, milliseconds, and the seconds for which it lasts. */
+  readonly other?: { readonly workMs: number; readonly seconds: number };
 }
 
 /**
  * Replays a VM that accepts one connection in each run of its event loop and passes on, in the same run, all events that
  * have come meanwhile. Returns the share of the capacity that is served in each second, and the waits in it.
  */
-function replay({ load, backlog = 0 }: ReplayOptions) {
+function replay({ load, backlog = 0, other }: ReplayOptions) {
   let nowMs = 0;
   const limit = createWorkLimit({
     now: () => nowMs,
@@ -50,6 +53,9 @@
   let accepted = 0;
   let streams: readonly Stream[] = [];
   let measuredMs = 0;
+  let idleMs = 0;
+  const refused = new Map<number, number>();
+  const otherUntilMs = OTHER_FROM_MS + (other?.seconds ?? 0) * MS_PER_SECOND;
   /** Wait of the connection that was accepted last; 0 if there was none in the last run. */
   let waitMs: number;
   const served = new Map<number, number>();
@@ -63,6 +69,7 @@
       const second = Math.floor(nowMs / MS_PER_SECOND);
       longestWaits.set(second, Math.max(longestWaits.get(second) ?? 0, waitMs));
       if (!limit.admit()) {
+        refused.set(second, (refused.get(second) ?? 0) + 1);
         nowMs += REFUSAL_MS;
       } else if (waitMs >= PATIENCE_MS) {
         nowMs += REFUSAL_MS;
@@ -82,10 +89,20 @@
       limit.end();
       return [];
     });
-    if (nowMs === beganMs) nowMs += 1;
-    if (nowMs - measuredMs < MEASURE_MS) continue;
+    if (other !== undefined && nowMs >= OTHER_FROM_MS && nowMs < otherUntilMs)
+      nowMs += other.workMs;
+    if (nowMs === beganMs) {
+      nowMs += 1;
+      idleMs += 1;
+    }
+    const sinceMs = nowMs - measuredMs;
+    if (sinceMs < MEASURE_MS) continue;
+    limit.measure({
+      waitMs: Math.max(waitMs, sinceMs - MEASURE_MS),
+      utilization: 1 - idleMs / sinceMs,
+    });
     measuredMs = nowMs;
-    limit.measure(waitMs);
+    idleMs = 0;
   }
   const sum = (counts: ReadonlyMap<number, number>, from: number): number =>
     [...counts].filter(([second]) => second >= from).reduce((total, [, one]) => total + one, 0);
@@ -96,6 +113,7 @@
     longestWaitFrom: (second: number) =>
       Math.max(...[...longestWaits].filter(([at]) => at >= second).map(([, ms]) => ms)),
     isLimited: limit.limit() !== undefined,
+    refusedFrom: (second: number) => sum(refused, second),
   };
 }
 
@@ -117,6 +135,12 @@
     expect(replay({ load }).longestWaitFrom(5)).toBeLessThan(500);
   });
 
+  // The limit rose by a few requests a second, however idle the processor was.
+  it.each([1, 2, 5])('refuses none a second after other work of %d seconds', (seconds) => {
+    const { refusedFrom } = replay({ load: 0.5, other: { workMs: 250, seconds } });
+    expect(refusedFrom(OTHER_FROM_MS / MS_PER_SECOND + seconds + 1)).toBe(0);
+  });
+
   it('serves again two seconds after all callers of a fleet have come at once', () => {
     const { servedFrom, longestWaitFrom } = replay({ load: 3, backlog: 400 });
     expect(servedFrom(2)).toBeGreaterThan(0.75);
