Begin without a limit on work, and set one with the first late measurement

Cause: a VM began with a limit of eight requests, which rose by half every 100 ms. It held what came against a number, not against its processor. The limit could also fall to four before the first request, from the work of the start.

Change: a VM begins without a limit. For three seconds from its first request one late measurement sets it, not three. Until then a VM that can't bear its callers takes in no more than its processor allows, as one connection is accepted in each run of the event loop. What is late before the first request sets no limit.

--- a/src/overload/createWorkLimit.ts
+++ b/src/overload/createWorkLimit.ts
@@ -4,8 +4,8 @@
  * takes the processor, new requests wait for it longer and longer, and each is served for a caller that has left. The
  * limit follows the wait of new requests: it falls while they wait too long, and rises while they do not and some are
  * refused. It rises fast while the processor is idle for a part of the time: what made requests wait was other work, or
- * has ended. Once none has been refused for a while there is none. A VM that starts begins with a low limit, which rises
- * fast. The decision asks for no size of the VM, which may change at any time.
+ * has ended. Once none has been refused for a while there is none. For a while after its first request, a VM sets a limit
+ * as soon as one measurement shows a wait. The decision asks for no size of the VM, which may change at any time.
  */
 
 import type { LogFields } from '../gateway/job';
@@ -47,6 +47,9 @@
 /** Measurements in a row that must show the wait: a collection of garbage or a large catalog takes one. */
 const LASTING_MEASUREMENTS = 3;
 
+/** Time from the first request in which one measurement is enough, milliseconds: all callers may come at once. */
+const STARTING_MS = 3_000;
+
 /** Share of the open requests that the limit leaves, and the time until a change shows in the wait, milliseconds. */
 const CUT_SHARE = 0.8;
 const CUT_INTERVAL_MS = 400;
@@ -55,11 +58,8 @@
 const GROWTH_SHARE = 0.02;
 const GROWTH = 0.25;
 
-/** Limit of a VM that has just started. */
-const START_LIMIT = 8;
-
-/** Growth after a start, until new requests wait for the first time, and in a measurement with idle time. */
-const FAST_GROWTH_SHARE = 0.5;
+/** The same in a measurement with idle time. */
+const IDLE_GROWTH_SHARE = 0.5;
 
 /** Share of the time with work below which the processor is no reason to refuse a request. */
 const IDLE_UTILIZATION = 0.75;
@@ -79,8 +79,9 @@
 
 export function createWorkLimit({ now, random, log, count }: WorkLimitOptions): WorkLimit {
   let open = 0;
-  let limit: number | undefined = START_LIMIT;
-  let isStarting = true;
+  let limit: number | undefined;
+  /** Time of the first request, monotonic, milliseconds. */
+  let firstMs: number | undefined;
   let lateMeasurements = 0;
   let cutMs = Number.NEGATIVE_INFINITY;
   let refusedMs = now();
@@ -95,11 +96,15 @@
     lastWindow = window;
     window = { admitted: 0, refused: 0 };
   };
+  /** Late measurements in a row that set a limit. What makes a VM late before its first request is its start. */
+  const countNeeded = (): number => {
+    if (firstMs === undefined) return Infinity;
+    return now() - firstMs < STARTING_MS ? 1 : LASTING_MEASUREMENTS;
+  };
   const cut = (waitMs: number): void => {
     if (now() - cutMs < CUT_INTERVAL_MS) return;
     cutMs = now();
-    const wasLimited = limit !== undefined && !isStarting;
-    isStarting = false;
+    const wasLimited = limit !== undefined;
     limit = Math.max(MIN_LIMIT, CUT_SHARE * Math.min(limit ?? Infinity, open));
     if (wasLimited) return;
     refusedMs = now();
@@ -108,20 +113,17 @@
   };
   const raise = (current: number, utilization: number): void => {
     const isIdle = utilization < IDLE_UTILIZATION;
-    const share = isStarting || isIdle ? FAST_GROWTH_SHARE : GROWTH_SHARE;
+    const share = isIdle ? IDLE_GROWTH_SHARE : GROWTH_SHARE;
     if (hasRefused || isIdle) limit = current * (1 + share) + GROWTH;
     if (now() - refusedMs < LIFTED_AFTER_MS) return;
     limit = undefined;
-    if (isStarting) {
-      isStarting = false;
-      return;
-    }
     count('work_limits', 'ended');
     log('work not limited', { open });
   };
   return {
     admit: () => {
       changeWindow();
+      firstMs ??= now();
       if (limit !== undefined && open >= Math.ceil(limit)) {
         hasRefused = true;
         refusedMs = now();
@@ -140,7 +142,7 @@
     measure: ({ waitMs, utilization }) => {
       changeWindow();
       lateMeasurements = waitMs >= MAX_WAIT_MS ? lateMeasurements + 1 : 0;
-      if (lateMeasurements >= LASTING_MEASUREMENTS) cut(waitMs);
+      if (lateMeasurements >= countNeeded()) cut(waitMs);
       else if (lateMeasurements === 0 && limit !== undefined) raise(limit, utilization);
       hasRefused = false;
     },
