Fault soak: count what befalls each VM that took part in a request

Cause: what may excuse a broken answer was looked up for the VM that the caller had asked.

Change: the path of a stream names the links by which it came, and one record judges for all callers: the VM that was asked, and those that had a server run the request. What befalls another VM, or at another time, counts for nothing, as before (createDisturbanceRecord.test.ts).

--- a/measurements/faultSoak/startSoakSite.ts
+++ b/measurements/faultSoak/startSoakSite.ts
@@ -24,7 +24,20 @@
   /** Whether VMs can be partitioned from the servers. */
   readonly hasLinks?: boolean;
   /** What the servers call, and what ends them. */
-  readonly serverHooks: Omit<EngineOptions, 'id' | 'service' | 'zone' | 'kind' | 'store'>;
+  readonly serverHooks: SoakServerHooks;
+}
+
+export interface SoakServerHooks extends Omit<
+  EngineOptions,
+  'id' | 'service' | 'zone' | 'kind' | 'store' | 'onRun'
+> {
+  /** @param links links of the VM that gave the stages; undefined for a call, and if VMs have none */
+  readonly onRun: (
+    requestId: string,
+    server: string,
+    stages: string,
+    links: ServerLinks | undefined,
+  ) => void;
 }
 
 const GATEWAY_COUNT = 3;
@@ -38,7 +51,8 @@
   const hooks = {
     ...serverHooks,
     onRun: (requestId: string, server: string, stages: string) => {
-      serverHooks.onRun(requestId, server, restoreAddresses(stages, linkSets));
+      const links = linkSets.find(({ toServer }) => toServer(readEntry(stages)) !== undefined);
+      serverHooks.onRun(requestId, server, restoreAddresses(stages, linkSets), links);
     },
     onStages: (requestId: string, server: string, stages: string) => {
       serverHooks.onStages(requestId, server, restoreAddresses(stages, linkSets));
@@ -95,6 +109,9 @@
   return Buffer.from(JSON.stringify(linked)).toString('base64');
 }
 
+/** Address of the first server of a path; empty for a call. */
+const readEntry = (stages: string): string => stages.split('=', 1)[0] ?? '';
+
 /** Names the servers of a path by their own addresses again. */
 function restoreAddresses(stages: string, linkSets: readonly ServerLinks[]): string {
   if (stages === '') return stages;
