Share the limit on work among connections

Callers saw: while 40 callers sent 2,000 requests with bodies each, one behind the other and without a look at the answers, an ordinary caller was refused five times in a row.

Cause: a place under the limit went to whoever asked next. The crowd asks a thousand times as often, and its connections held all places.

Change: where the limit is reached, a connection that would have no more than the limit divided by the connections in use is served all the same. A crowd of connections with one request each has no place more by it. begin returns what records the end, so that both name the same connection.

--- a/src/adapters/gateway/createGateway.ts
+++ b/src/adapters/gateway/createGateway.ts
@@ -56,7 +56,7 @@
   /** Whether connections close after their next answer. */
   readonly isDraining: () => boolean;
   /** Decides whether a further request is served; without it, all are. */
-  readonly workLimit?: Pick<WorkLimit, 'admit' | 'begin' | 'end' | 'retryAfterMs'>;
+  readonly workLimit?: Pick<WorkLimit, 'admit' | 'begin' | 'retryAfterMs'>;
   /** Estimated time that a request which is read now has waited for the processor, milliseconds. */
   readonly readDelayMs?: (request: IncomingMessage) => number;
 }
@@ -88,6 +88,7 @@
   const queue = createAdmissionQueue(host.now);
   const retryDetector = createRetryDetector();
   const refuseOverload = createOverloadRefusal(host);
+  const admits = ({ socket }: IncomingMessage) => workLimit?.admit(socket) !== false;
   host.registry.onChange(queue.wake);
   const handlers: Readonly<Record<AnswerForm, JobHandler>> = {
     call: (gateway, job) => serveCall(gateway, job, history),
@@ -160,8 +161,7 @@
       refuse(request, response, BODY_REFUSALS[read.bound], { ...retryOptions, bound: read.bound });
     }
     if (read.type !== 'whole' || response.destroyed) return;
-    workLimit?.begin();
-    response.once('close', () => workLimit?.end());
+    if (workLimit !== undefined) response.once('close', workLimit.begin(request.socket));
     if (delayMs >= MIN_LEAVING_MS && (await hasCallerLeft(request))) {
       host.count('unserved', 'caller-left');
       response.destroy();
@@ -272,8 +272,8 @@
       // Requests that were read with those for which their connection has been closed.
       if (request.socket.destroyed) return;
       closeIfDraining(response);
-      if (workLimit?.admit() === false) refuseOverload(request, response, workLimit.retryAfterMs());
-      else handle(request, response);
+      if (admits(request)) handle(request, response);
+      else refuseOverload(request, response, workLimit?.retryAfterMs() ?? PEER_RETRY_MS);
     },
     handleForwarded: (request, response) => {
       const { [FORWARDED_HEADER]: text, ...headers } = request.headers;
@@ -281,7 +281,7 @@
       request.headers = headers;
       closeIfDraining(response);
       const mayServe = forwarded !== undefined && canServe(forwarded);
-      if (mayServe && workLimit?.admit() !== false) handle(request, response, forwarded);
+      if (mayServe && admits(request)) handle(request, response, forwarded);
       else refuse(request, response, ELSEWHERE, { isLast: true });
     },
     active: () => open.size,
--- a/src/overload/createWorkLimit.test.ts
+++ b/src/overload/createWorkLimit.test.ts
@@ -17,10 +17,12 @@
       limit.measure({ waitMs, utilization });
     }
   };
-  const admitAll = (requests: number): number =>
+  /** Sends requests on one connection, or each on its own without it. */
+  const admitAll = (requests: number, connection?: object): number =>
     Array.from({ length: requests }, () => {
-      const isAdmitted = limit.admit();
-      if (isAdmitted) limit.begin();
+      const own = connection ?? {};
+      const isAdmitted = limit.admit(own);
+      if (isAdmitted) limit.begin(own);
       return isAdmitted;
     }).filter(Boolean).length;
   return { limit, logged, measure, admitAll };
@@ -92,10 +94,31 @@
     expect(limit.limit()).toBe(60.25);
   });
 
+  // An ordinary caller was refused while connections that sent one request behind the other held all places.
+  it('serves connections that have less than their share of the limit', () => {
+    const { limit, measure, admitAll } = start();
+    measure(0, 30);
+    const [greedy, other] = [{}, {}];
+    admitAll(50, greedy);
+    admitAll(50, other);
+    measure(150, 3);
+    expect(limit.limit()).toBe(80);
+    expect([admitAll(1, greedy), admitAll(1, other), admitAll(1)]).toEqual([0, 0, 1]);
+    expect(admitAll(100)).toBe(77);
+  });
+
+  it('serves no further connection where each has its share', () => {
+    const { measure, admitAll } = start();
+    measure(0, 30);
+    admitAll(50);
+    measure(150, 3);
+    expect(admitAll(10)).toBe(0);
+  });
+
   it('serves some requests whatever makes them wait', () => {
     const { limit, measure, admitAll } = start();
-    admitAll(1);
-    limit.end();
+    limit.admit({});
+    limit.begin({})();
     measure(0, 30);
     measure(2_000, 50);
     expect(admitAll(10)).toBe(4);
@@ -114,7 +137,7 @@
 
   it('counts no request whose body is not complete', () => {
     const { limit } = start();
-    const admitted = Array.from({ length: 100 }, () => limit.admit());
+    const admitted = Array.from({ length: 100 }, () => limit.admit({}));
     expect(admitted).not.toContain(false);
   });
 });
--- a/src/overload/createWorkLimit.ts
+++ b/src/overload/createWorkLimit.ts
@@ -5,18 +5,22 @@
  * limit follows the wait of new requests: it falls while they wait too long, and rises while they do not and some are
  * refused. It rises fast while the processor is idle for a part of the time: what made requests wait was other work, or
  * has ended. Once none has been refused for a while there is none. For a while after its first request, a VM sets a limit
- * as soon as one measurement shows a wait. The decision asks for no size of the VM, which may change at any time.
+ * as soon as one measurement shows a wait. Connections share the limit: one that sends its requests without a look at the
+ * answers takes no place from those that have less than their share. The decision asks for no size of the VM, which may
+ * change at any time.
  */
 
 import type { LogFields } from '../gateway/job';
 
 export interface WorkLimit {
-  /** Whether a request that has arrived may be served; counts the decision. */
-  readonly admit: () => boolean;
-  /** Records that work on a request begins; one whose body is not complete is none yet. */
-  readonly begin: () => void;
-  /** Records that work on a request has ended. */
-  readonly end: () => void;
+  /** Whether a request that has arrived on a connection may be served; counts the decision. */
+  readonly admit: (connection: object) => boolean;
+  /**
+   * Records that work on a request begins; one whose body is not complete is none yet.
+   *
+   * @returns records that it has ended; to be called once
+   */
+  readonly begin: (connection: object) => () => void;
   /** Decides anew; called often. */
   readonly measure: (measurement: WorkMeasurement) => void;
   /** Requests that may be open; undefined where there is no limit. */
@@ -79,6 +83,8 @@
 
 export function createWorkLimit({ now, random, log, count }: WorkLimitOptions): WorkLimit {
   let open = 0;
+  /** Open requests by connection. */
+  const openBy = new Map<object, number>();
   let limit: number | undefined;
   /** Time of the first request, monotonic, milliseconds. */
   let firstMs: number | undefined;
@@ -90,6 +96,12 @@
   let window = { admitted: 0, refused: 0 };
   let lastWindow = window;
 
+  /** Whether a connection would have no more than its share of the limit with one request more. */
+  const isWithinShare = (connection: object): boolean => {
+    const own = openBy.get(connection) ?? 0;
+    const connections = openBy.size + (own === 0 ? 1 : 0);
+    return (own + 1) * connections <= (limit ?? Infinity);
+  };
   const changeWindow = (): void => {
     if (now() - windowBeganMs < WINDOW_MS) return;
     windowBeganMs = now();
@@ -121,10 +133,11 @@
     log('work not limited', { open });
   };
   return {
-    admit: () => {
+    admit: (connection) => {
       changeWindow();
       firstMs ??= now();
-      if (limit !== undefined && open >= Math.ceil(limit)) {
+      const isFull = limit !== undefined && open >= Math.ceil(limit);
+      if (isFull && !isWithinShare(connection)) {
         hasRefused = true;
         refusedMs = now();
         window = { ...window, refused: window.refused + 1 };
@@ -133,11 +146,15 @@
       window = { ...window, admitted: window.admitted + 1 };
       return true;
     },
-    begin: () => {
+    begin: (connection) => {
       open += 1;
-    },
-    end: () => {
-      open -= 1;
+      openBy.set(connection, (openBy.get(connection) ?? 0) + 1);
+      return () => {
+        open -= 1;
+        const left = (openBy.get(connection) ?? 0) - 1;
+        if (left > 0) openBy.set(connection, left);
+        else openBy.delete(connection);
+      };
     },
     measure: ({ waitMs, utilization }) => {
       changeWindow();
--- a/src/overload/overloadReplay.test.ts
+++ b/src/overload/overloadReplay.test.ts
@@ -20,6 +20,7 @@
 const MS_PER_SECOND = 1_000;
 
 interface Stream {
+  readonly end: () => void;
   readonly nextMs: number;
   readonly left: number;
 }
@@ -68,16 +69,19 @@
       waitMs = nowMs - arrivedMs;
       const second = Math.floor(nowMs / MS_PER_SECOND);
       longestWaits.set(second, Math.max(longestWaits.get(second) ?? 0, waitMs));
-      if (!limit.admit()) {
+      const connection = {};
+      if (!limit.admit(connection)) {
         refused.set(second, (refused.get(second) ?? 0) + 1);
         nowMs += REFUSAL_MS;
       } else if (waitMs >= PATIENCE_MS) {
         nowMs += REFUSAL_MS;
       } else {
         nowMs += START_MS;
-        limit.begin();
         served.set(second, (served.get(second) ?? 0) + 1);
-        streams = [...streams, { nextMs: nowMs + EVENT_GAP_MS, left: EVENTS }];
+        streams = [
+          ...streams,
+          { end: limit.begin(connection), nextMs: nowMs + EVENT_GAP_MS, left: EVENTS },
+        ];
       }
     } else {
       waitMs = 0;
@@ -85,8 +89,9 @@
     streams = streams.flatMap((stream) => {
       if (stream.nextMs > nowMs) return [stream];
       nowMs += EVENT_MS;
-      if (stream.left > 1) return [{ nextMs: stream.nextMs + EVENT_GAP_MS, left: stream.left - 1 }];
-      limit.end();
+      const { left } = stream;
+      if (left > 1) return [{ ...stream, nextMs: stream.nextMs + EVENT_GAP_MS, left: left - 1 }];
+      stream.end();
       return [];
     });
     if (other !== undefined && nowMs >= OTHER_FROM_MS && nowMs < otherUntilMs)
