Bound the share of the processor that datagrams of other VMs take

Callers saw (shown by a test of ours, not reported): while another VM sent reports of contents without end, an ordinary request was cut.

Cause: each datagram is decoded and joined when it comes, and nothing asked how much of the time that took. Floods were played for replies, streams, the store and requests of other VMs, not for datagrams.

--- a/src/adapters/gateway/createPeerSocket.ts
+++ b/src/adapters/gateway/createPeerSocket.ts
@@ -1,10 +1,12 @@
 /**
  * Sends and receives datagrams between VMs. Where the address can't be bound it is tried again. Nothing is sent
- * meanwhile, as the runtime would bind the socket to another port.
+ * meanwhile, as the runtime would bind the socket to another port. Datagrams take a bounded share of the processor; those
+ * beyond it count as lost, which the exchange tolerates.
  */
 
 import { createSocket } from 'node:dgram';
 import type { LogFields } from '../../gateway/job';
+import { createTimeShare } from '../../overload/createTimeShare';
 
 export interface PeerSocket {
   /** Sends a datagram; one that can't be sent counts as lost, which receivers tolerate up to a limit. */
@@ -18,15 +20,23 @@
   readonly address: string;
   readonly onDatagram: (datagram: Uint8Array) => void;
   readonly log: (message: string, fields: LogFields) => void;
+  /** Monotonic clock, milliseconds. */
+  readonly now?: () => number;
   /** Time from a failed attempt to bind to the next one, milliseconds. */
   readonly retryMs?: number;
 }
 
 const DEFAULT_RETRY_MS = 500;
 
+const LOG_INTERVAL_MS = 1_000;
+
 /** Starts to bind the socket. */
 export function createPeerSocket(options: PeerSocketOptions): PeerSocket {
   const { address, onDatagram, log, retryMs = DEFAULT_RETRY_MS } = options;
+  const { now = () => performance.now() } = options;
+  const timeShare = createTimeShare({ now });
+  let dropped = 0;
+  let loggedMs = Number.NEGATIVE_INFINITY;
   const [host, port] = address.split(':');
   const socket = createSocket('udp4');
   let isBound = false;
@@ -47,13 +57,26 @@
     isBinding = false;
     setTimeout(bind, retryMs);
   });
-  socket.on('message', (datagram) => {
+  const handle = (datagram: Uint8Array): void => {
     try {
       onDatagram(datagram);
     } catch (error) {
       // Anyone can send to the port; what no decoder foresees must not end the process.
       log('datagram not handled', { error: String(error), bytes: datagram.length });
     }
+  };
+  const recordDropped = (): void => {
+    dropped += 1;
+    if (now() - loggedMs < LOG_INTERVAL_MS) return;
+    loggedMs = now();
+    log('datagrams dropped', { datagrams: dropped });
+    dropped = 0;
+  };
+  socket.on('message', (datagram) => {
+    const isHandled = timeShare.run(() => {
+      handle(datagram);
+    });
+    if (!isHandled) recordDropped();
   });
   bind();
   return {
