--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -6,7 +6,7 @@
 import { listen } from './listen.mjs';
 
 const HEARTBEAT_MS = 1_200;
-const WORK_MS = 20;
+const WORK_MS = 43;
 
 export async function startEngine({ id, service, zone, store, onRun }) {
   const born = Date.now();
--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -10,11 +10,10 @@
 /** The deploy file's `run`, from the root of the repository. */
 const COMMAND = ['--max-old-space-size=96', '--max-semi-space-size=2', 'target/citronpassd.js'];
 
-/** Starts a process; its settings are those that the template of the deploy file gives for a machine. */
-export async function startGateway({ name, zone, folder, storeAddress }) {
-  const [callers, ready, directory, peers, metrics] = await findFreeAddresses(5);
-  const settingsPath = join(folder, `${name}.toml`);
-  const settings = `[vm]
+/** The settings that the template of the deploy file gives for a machine. */
+function createSettings({ name, zone, storeAddress, addresses }) {
+  const [callers, ready, directory, peers, metrics] = addresses;
+  return `[vm]
 name = "${name}"
 failure_domain = "${zone}"
 region = "region"
@@ -43,18 +42,32 @@
 [directory]
 max_validity_s = 5
 `;
-  writeFileSync(settingsPath, settings);
+}
+
+/**
+ * @param options.addresses addresses of an earlier process on the machine; free ones by default
+ * @param options.onExit called when the process has ended
+ */
+export async function startGateway({ name, zone, folder, storeAddress, addresses, onExit }) {
+  const listen = addresses ?? (await findFreeAddresses(5));
+  const settingsPath = join(folder, `${name}.toml`);
+  writeFileSync(settingsPath, createSettings({ name, zone, storeAddress, addresses: listen }));
   const child = spawn(process.execPath, COMMAND, {
     env: { PATH: process.env.PATH, CITRONPASS_NODE_FILE: settingsPath },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
-  const log = createWriteStream(join(folder, `${name}.log`));
+  const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
   child.stdout.pipe(log, { end: false });
   child.stderr.pipe(log, { end: false });
+  child.once('exit', (code, signal) => onExit?.(signal ?? `exit code ${code}`));
+  const [callers, ready, directory] = listen;
   return {
     name,
+    addresses: listen,
     callers,
+    directory,
     readyAddress: ready,
+    pid: child.pid,
     signal: (signal) => child.kill(signal),
     isRunning: () => child.exitCode === null && child.signalCode === null,
     kill: () => child.kill('SIGKILL'),
