--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -29,25 +29,27 @@
   const notify = () => {
     for (const waiter of [...waiters]) waiter();
   };
-  const toRow = ({ table, key, value, version: rowVersion }) => ({
-    table,
-    part: '',
-    key,
-    rowVersion,
-    ...(value === undefined ? { deleted: true } : { value }),
-  });
+  const toRow =
+    (mapValue) =>
+    ({ table, key, value, version: rowVersion }) => ({
+      table,
+      part: '',
+      key,
+      rowVersion,
+      ...(value === undefined ? { deleted: true } : { value: mapValue(table, value) }),
+    });
   const respond = (response, status, body) => {
     response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(era) });
     response.end(
       JSON.stringify({ ...body, rowVersion: version, nowMs: Math.round(process.uptime() * 1_000) }),
     );
   };
-  const sendRows = (query, response) => {
+  const sendRows = (query, response, mapValue) => {
     const table = query.get('table');
     const found = [...rows.values()].filter((row) => row.table === table);
-    respond(response, 200, { rows: found.map(toRow), hasMore: false });
+    respond(response, 200, { rows: found.map(toRow(mapValue)), hasMore: false });
   };
-  const sendChanges = (query, response) => {
+  const sendChanges = (query, response, mapValue) => {
     const table = query.get('table');
     const since = Number(query.get('sinceRev'));
     const answer = (isLast) => {
@@ -57,7 +59,7 @@
       }
       const changes = journal.filter((change) => change.table === table && change.version > since);
       if (changes.length === 0 && !isLast) return false;
-      respond(response, 200, { rows: changes.map(toRow) });
+      respond(response, 200, { rows: changes.map(toRow(mapValue)) });
       return true;
     };
     if (answer(false)) return;
@@ -78,12 +80,12 @@
     waiters.add(waiter);
     response.once('close', stop);
   };
-  const transact = (text, response) => {
+  const transact = (text, response, mapValue) => {
     const { expectedRev = [], writes = [], remove = [] } = JSON.parse(text);
     const versionOf = ({ table, key }) => rows.get(`${table}/${key}`)?.version ?? 0;
     if (expectedRev.some((row) => versionOf(row) !== row.rowVersion)) {
       const current = expectedRev.flatMap(({ table, key }) => rows.get(`${table}/${key}`) ?? []);
-      respond(response, 412, { rows: current.map(toRow) });
+      respond(response, 412, { rows: current.map(toRow(mapValue)) });
       return;
     }
     version += 1;
@@ -92,23 +94,27 @@
     notify();
     respond(response, 200, {});
   };
-  const serve = (request, response) => {
+  const serve = (request, response, mapValue) => {
     const { pathname, searchParams } = new URL(request.url, 'http://store');
-    if (pathname === '/-/rows-get') sendRows(searchParams, response);
-    else if (pathname === '/-/rows-feed') sendChanges(searchParams, response);
+    if (pathname === '/-/rows-get') sendRows(searchParams, response, mapValue);
+    else if (pathname === '/-/rows-feed') sendChanges(searchParams, response, mapValue);
     else {
       const chunks = [];
       request.on('data', (chunk) => chunks.push(chunk));
-      request.on('end', () => transact(Buffer.concat(chunks).toString(), response));
+      request.on('end', () => transact(Buffer.concat(chunks).toString(), response, mapValue));
     }
   };
   let isAway = false;
   return {
-    /** Opens an address for one process; `turnAway` stops to answer there until it is called with false. */
-    openAddress: async () => {
+    /**
+     * Opens an address for one process; `turnAway` stops to answer there until it is called with false.
+     *
+     * @param mapValue maps the encoded values that the process reads
+     */
+    openAddress: async (mapValue = (_, value) => value) => {
       let isTurnedAway = false;
       const server = createServer((request, response) => {
-        if (!isAway && !isTurnedAway) serve(request, response);
+        if (!isAway && !isTurnedAway) serve(request, response, mapValue);
       });
       servers.push(server);
       const address = await listen(server);
