--- a/review/lib-2/keptCaller.mjs
+++ b/review/lib-2/keptCaller.mjs
@@ -1,14 +1,15 @@
 /** A caller that sends one request after the other on connections that it keeps. */
 
 import { Agent, request as open } from 'node:http';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 const PAUSE_MS = 20;
 
 /**
  * @param options.next returns the next request
- * @param options.onEnd called with the request, its status (0 without a whole answer) and whether its connection
- *   had carried an earlier request
+ * @param options.onEnd called with the request, its status (0 without a whole answer), whether the caller has left at
+ *   its deadline, and whether its connection had carried an earlier request
  */
 export function startKeptCaller({ address, next, onEnd }) {
   const [hostname, port] = address.split(':');
@@ -29,8 +30,15 @@
           'x-deadline-remaining': String(deadlineMs),
         },
       });
-      const finish = (status) => resolve({ status, wasKept: outgoing.reusedSocket });
-      outgoing.setTimeout(2 * deadlineMs, () => outgoing.destroy());
+      let hasLeft = false;
+      const deadline = setTimeout(() => {
+        hasLeft = true;
+        outgoing.destroy();
+      }, deadlineMs);
+      const finish = (status) => {
+        clearTimeout(deadline);
+        resolve({ status, hasLeft, wasKept: outgoing.reusedSocket });
+      };
       outgoing.on('error', () => finish(0));
       outgoing.on('response', (reply) => {
         reply.resume();
--- a/review/lib-2/report.mjs
+++ b/review/lib-2/report.mjs
@@ -23,6 +23,12 @@
     /** Runs the case, ends what it has started and exits. */
     run: async (play, end) => {
       let result = NOT_RUN;
+      const abandon = () => {
+        end();
+        process.exit(NOT_RUN);
+      };
+      for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT'])
+        process.on(event, abandon);
       try {
         result = await play();
       } catch (error) {
--- a/review/lib-2/streamEngine.mjs
+++ b/review/lib-2/streamEngine.mjs
@@ -1,7 +1,7 @@
 /** Stand-in for an engine that writes streams of numbered events, and breaks some of them off. */
 
 import { createServer } from 'node:http';
-import { clearInterval, setInterval } from 'node:timers';
+import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 import { listen } from './listen.mjs';
 
 const HEARTBEAT_MS = 1_200;
@@ -22,9 +22,9 @@
     const state = { state: 'ready', coldLeftMs: 0, seqNo, born };
     store.put('servers', id, { service, address, zone, version: 'v1', slots: SLOTS, ...state });
   };
-  const run = (requestId, last, response) => {
-    onRun({ requestId, server: id });
+  const run = ({ requestId, last, deadlineMs }, response) => {
     const breaksOff = isBrokenOff();
+    let hasBegun = false;
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'x-request-id': requestId,
@@ -33,11 +33,19 @@
     let event = last;
     const timer = setInterval(() => {
       event += 1;
+      // A request begins to run with its first token.
+      if (!hasBegun) onRun({ requestId, server: id });
+      hasBegun = true;
       response.write(`id: ${event}\ndata: ${requestId} ${event}\n\n`);
       if (event >= EVENTS) response.end();
       else if (breaksOff && event - last >= BROKEN_OFF_AFTER) response.socket.resetAndDestroy();
     }, EVENT_INTERVAL_MS);
-    response.once('close', () => clearInterval(timer));
+    // An engine stops work at the time that it was given.
+    const deadline = setTimeout(() => response.destroy(), deadlineMs);
+    response.once('close', () => {
+      clearInterval(timer);
+      clearTimeout(deadline);
+    });
   };
   const server = createServer((request, response) => {
     request.resume();
@@ -53,7 +61,10 @@
       } else if (requestId === undefined) {
         response.writeHead(400, { 'x-not-executed': '1' });
         response.end();
-      } else run(requestId, Number(headers['last-event-id'] ?? 0), response);
+      } else {
+        const last = Number(headers['last-event-id'] ?? 0);
+        run({ requestId, last, deadlineMs: Number(headers['x-deadline-remaining']) }, response);
+      }
     });
   });
   address = await listen(server);
